--- /dev/null
+++ b/rushsaddle/__init__.py
@@ -0,0 +1,1 @@
+"""The real node round the decisions of tansygw: callers on one side, senders on the other."""
--- /dev/null
+++ b/rushsaddle/__main__.py
@@ -0,0 +1,106 @@
+"""Start of one real node, and its exit code."""
+
+from __future__ import annotations
+
+import gc
+import select
+import signal
+import socket
+import sys
+
+from tansygw import Dispatcher
+
+from . import config
+from .decider import Decider
+from .jsonlog import Log
+from .loop import Clock, Coroutine, Loop, Wait
+from .net.caller import Callers, Class
+from .net.discovery import Discovery
+from .net.nexthop import NextHops
+
+SPARE = 40  # descriptors for the loop, the log, discovery, and sockets on their way out
+DRAIN_LOOK_US = 20_000
+
+
+class Node:
+    """One of each part, put together."""
+
+    def __init__(self, told: config.Config) -> None:
+        settings, limits = told.settings, told.settings.limits
+        clock = Clock()
+        self.code = 0
+        self.log = Log(told.name, clock.now_us)
+        self.loop = Loop(clock, lambda error: self.log.error("a connection's code failed", error))
+        self.decider = Decider(
+            self.loop, self.log, Dispatcher(settings, told.seed), settings.tick_us, limits.max_attempts,
+            self.fault,
+        )
+        budget = (told.sockets - SPARE) // 2  # as many legs as branches, probes and idle next hops
+        connect_us = limits.connect_timeout_us or 250_000
+        self.hops = NextHops(
+            self.loop, self.log, self.decider.put, budget, connect_us, told.conn_idle_us // 2,
+            told.report_names,
+        )
+        self.decider.hops = self.hops
+        self.discovery = Discovery(
+            self.loop, self.log, self.decider.put, self.hops, told.names, told.discovery, connect_us
+        )
+        self.decider.subscribe = self.discovery.subscribe
+        classes = {c.name: Class(n, c.deadline_us) for n, c in enumerate(settings.classes)}
+        tenants = {name: n for n, name in enumerate(told.tenant_names)}
+        self.callers = Callers(self.loop, self.log, self.decider, self.hops, classes, tenants, budget)
+        self.deadline_us = max(c.deadline_us for c in settings.classes)
+        self.told = told
+
+    def run(self) -> int:
+        """Serve until a signal; raises OSError where the address is not to be had."""
+        told = self.told
+        self.callers.listen(told.listen)
+        self.discovery.start(told.known)
+        self.decider.start()
+        self.loop.spawn(self.hops.sweep())
+        signals, far = socket.socketpair()
+        signals.setblocking(False)
+        far.setblocking(False)
+        signal.signal(signal.SIGTERM, lambda *_: None)
+        signal.signal(signal.SIGINT, lambda *_: None)
+        signal.set_wakeup_fd(far.fileno())
+        self.loop.spawn(self._drain(signals))
+        self.log.event("ready", listen=f"{told.listen[0]}:{told.listen[1]}", next_hops=len(self.hops.hops))
+        self.loop.run()
+        self.log.event("stopped", code=self.code)
+        return self.code
+
+    def fault(self) -> None:
+        """The decisions failed: nothing that goes on without them can be trusted."""
+        self.code = 1
+        self.loop.stopped = True
+
+    def _drain(self, signals: socket.socket) -> Coroutine[None]:
+        """At a signal: take what is on the way, finish what is held, stop."""
+        yield Wait(signals.fileno(), select.EPOLLIN)
+        self.log.event("draining", legs=len(self.callers.legs))
+        yield from self.callers.drain()
+        until = self.loop.now_us() + self.deadline_us
+        while self.loop.now_us() < until and (self.callers.legs or self.decider.transactions):
+            yield Wait(until_us=self.loop.now_us() + DRAIN_LOOK_US)
+        self.loop.stopped = True
+
+
+def main() -> int:
+    try:
+        node = Node(config.read())
+    except (config.ConfigError, ValueError) as error:
+        print(f"rushsaddle: {error}", file=sys.stderr)
+        return 2
+    gc.freeze()
+    gc.set_threshold(50_000, 20, 100)  # few cycles are made; collecting often costs more than it frees
+    try:
+        return node.run()
+    except OSError as error:
+        print(f"rushsaddle: cannot listen on {node.told.listen}: {error}", file=sys.stderr)
+        return 2
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/rushsaddle/config.py
@@ -0,0 +1,90 @@
+"""What a node is told at its start: the environment, and the JSON file that it names."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+
+from tansygw.interface import Settings
+from tansygw.settings import settings_from
+
+from .net.discovery import Names
+from .net.nexthop import Address
+
+
+class ConfigError(Exception):
+    """What is wrong with the configuration, in one line."""
+
+
+@dataclass(slots=True, frozen=True)
+class Config:
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int
+    known: Any
+    settings: Settings
+    report_names: dict[str, str]
+    class_names: tuple[str, ...]
+    tenant_names: tuple[str, ...]
+    names: Names
+    conn_idle_us: int
+
+
+def _address(name: str, text: Any) -> Address:
+    host, _, port = str(text or "").rpartition(":")
+    if not host or not port.isdigit() or not 0 <= int(port) < 65536:
+        raise ConfigError(f"{name}: {text!r} is not host:port")
+    return host, int(port)
+
+
+def read(env: Mapping[str, str] = os.environ) -> Config:
+    path = env.get("GW_CONFIG")
+    if not path:
+        raise ConfigError("GW_CONFIG: not set")
+    try:
+        with open(path, "rb") as file:
+            data = orjson.loads(file.read())
+    except OSError as error:
+        raise ConfigError(f"GW_CONFIG: {error}") from None
+    except orjson.JSONDecodeError as error:
+        raise ConfigError(f"{path}: not JSON: {error}") from None
+    if not isinstance(data, dict):
+        raise ConfigError(f"{path}: not an object")
+    try:
+        return _checked(data, env)
+    except KeyError as error:
+        raise ConfigError(f"{path}: {error.args[0]}: missing") from None
+    except (AttributeError, TypeError, ValueError) as error:
+        raise ConfigError(f"{path}: {error}") from None
+
+
+def _checked(data: dict[str, Any], env: Mapping[str, str]) -> Config:
+    raw = data["settings"]
+    settings, report_names = settings_from(raw)
+    names = Names(raw.get("Azs") or [], raw.get("Kinds") or [])
+    known = data.get("known") or {"rev": 0, "targets": []}
+    names.entries(known["targets"])
+    int(known["rev"])
+    sockets = int(data.get("limits", {}).get("sockets", 1024))
+    if sockets < 64:
+        raise ConfigError("limits.sockets: at least 64 are needed")
+    return Config(
+        name=str(env.get("GW_NAME") or data.get("name") or "node"),
+        listen=_address("listen", env.get("GW_LISTEN") or data.get("listen")),
+        discovery=_address("discovery", env.get("GW_DISCOVERY") or data.get("discovery")),
+        seed=int(str(data.get("seed", "0")), 16),
+        sockets=sockets,
+        known=known,
+        settings=settings,
+        report_names=report_names,
+        class_names=tuple(c.name for c in settings.classes),
+        tenant_names=tuple(t.name for t in settings.tenants),
+        names=names,
+        conn_idle_us=int(raw.get("Limits", {}).get("ConnIdleUs", 60_000_000)),
+    )
--- /dev/null
+++ b/rushsaddle/decider.py
@@ -0,0 +1,180 @@
+"""The one task that owns the decisions.  Everybody else reaches them through its queue."""
+
+from __future__ import annotations
+
+import heapq
+from collections import deque
+from collections.abc import Callable
+from typing import Protocol
+
+from tansygw import Dispatcher
+from tansygw.interface import (
+    Action,
+    AttemptEnded,
+    AttemptNote,
+    Cancel,
+    Check,
+    Event,
+    Fail,
+    Log,
+    Outcome,
+    Refuse,
+    RequestArrived,
+    RequestGone,
+    Send,
+    SetTimer,
+    Subscribe,
+    TimerFired,
+)
+
+from . import jsonlog
+from .loop import Coroutine, Loop, Task, Wait
+from .transaction import Answer, Branch, Job, Transaction, Verdict
+
+
+class Hops(Protocol):
+    """What carries branches and checks out."""
+
+    def start(self, branch: Branch) -> bool: ...
+
+    def check(self, worker: str) -> None: ...
+
+
+class Decider:
+    def __init__(
+        self, loop: Loop, log: jsonlog.Log, dispatcher: Dispatcher, tick_us: int, max_attempts: int,
+        on_fault: Callable[[], None],
+    ) -> None:
+        self.loop = loop
+        self.log = log
+        self.dispatcher = dispatcher
+        self.tick_us = tick_us
+        self.max_attempts = max_attempts
+        self.on_fault = on_fault  # the decisions are broken: the node cannot go on
+        self.hops: Hops | None = None
+        self.subscribe: Callable[[], None] = lambda: None
+        self.transactions: dict[int, Transaction] = {}
+        self.stepped_us = 0
+        self._count = 0
+        self._queue: deque[Event | Transaction] = deque()
+        self._timers: list[tuple[int, int]] = []
+        self._task: Task | None = None
+
+    def start(self) -> None:
+        self._task = self.loop.spawn(self._run())
+
+    def put(self, event: Event) -> None:
+        self._enqueue(event)
+
+    def submit(
+        self, job: Job, payload: object, received_us: int, deadline_us: int, on_answer: Callable[[], None]
+    ) -> Transaction:
+        """A request has come whole: it is owed an answer from here on."""
+        self._count += 1
+        transaction = Transaction(self._count, job, payload, received_us, deadline_us, self.put, on_answer)
+        self._enqueue(transaction)
+        return transaction
+
+    def _enqueue(self, item: Event | Transaction) -> None:
+        self._queue.append(item)
+        if self._task is not None:
+            self.loop.wake(self._task)
+
+    def _run(self) -> Coroutine[None]:
+        while True:
+            now = self.loop.now_us()
+            due = self._due(now)
+            if due is None or due > now:
+                yield Wait(until_us=due)
+                continue
+            try:
+                self._step(now)
+            except Exception as error:
+                self.log.error("decisions failed", error)
+                self.on_fault()
+                return
+
+    def _due(self, now: int) -> int | None:
+        """When to step: at once after an idle tick, else once the tick is over."""
+        if self._queue:
+            return self.stepped_us + self.tick_us
+        if self._timers:
+            return max(self._timers[0][0], self.stepped_us + self.tick_us)
+        return None
+
+    def _step(self, now: int) -> None:
+        self.stepped_us = now
+        events: list[Event] = []
+        touched: set[int] = set()
+        while self._queue:
+            item = self._queue.popleft()
+            if isinstance(item, Transaction):
+                self.transactions[item.number] = item
+                item_event: Event = _arrival(item, now)
+            else:
+                item_event = item
+            if isinstance(item_event, RequestArrived | AttemptEnded | AttemptNote | RequestGone):
+                touched.add(item_event.request)
+            events.append(item_event)
+        while self._timers and self._timers[0][0] <= now:
+            events.append(TimerFired(heapq.heappop(self._timers)[1]))
+        for action in self.dispatcher.step(now, events):
+            if isinstance(action, Refuse | Fail):
+                touched.add(action.request)
+            self._act(action, now)
+        # All that was queued has been told, so what is over and has no branch out is not named again.
+        for number in touched:
+            transaction = self.transactions.get(number)
+            if transaction is not None and transaction.over and not transaction.out:
+                del self.transactions[number]
+
+    def _act(self, action: Action, now: int) -> None:
+        assert self.hops is not None
+        if isinstance(action, Send):
+            self._send(action, now)
+        elif isinstance(action, Refuse):
+            self._finish(action.request, Answer(Verdict.REFUSED, retry_after_us=action.retry_after_us))
+        elif isinstance(action, Fail):
+            transaction = self.transactions.get(action.request)
+            late = transaction is not None and now >= transaction.deadline_us - 2 * self.tick_us
+            self._finish(action.request, Answer(Verdict.FAILED, late=late))
+        elif isinstance(action, Cancel):
+            transaction = self.transactions.get(action.request)
+            if transaction is not None and 0 <= action.attempt < len(transaction.branches):
+                transaction.branches[action.attempt].cancel()
+        elif isinstance(action, Check):
+            self.hops.check(action.worker)
+        elif isinstance(action, SetTimer):
+            heapq.heappush(self._timers, (now + max(1, action.after_us), action.token))
+        elif isinstance(action, Subscribe):
+            self.subscribe()
+        elif isinstance(action, Log):
+            self.log.event("decisions", text=action.text)
+
+    def _send(self, action: Send, now: int) -> None:
+        assert self.hops is not None
+        transaction = self.transactions.get(action.request)
+        if transaction is None:  # it ended and the decisions were told: nothing is left to count it under
+            self.log.event("send for an unknown request", request=action.request, worker=action.worker)
+            return
+        branch = transaction.branch(action.worker, action.timeout_us, now)
+        if (
+            transaction.over
+            or branch.number >= self.max_attempts
+            or branch.until_us <= now
+            or not self.hops.start(branch)
+        ):
+            branch.end(now, Outcome.VOID)
+
+    def _finish(self, number: int, answer: Answer) -> None:
+        transaction = self.transactions.get(number)
+        if transaction is not None:
+            transaction.finish(answer)
+
+
+def _arrival(t: Transaction, now: int) -> RequestArrived:
+    job = t.job
+    return RequestArrived(
+        t.number, job.cls, max(0, t.deadline_us - now), job.slots, job.memory, job.tenant, job.key,
+        job.repeat, job.expected_us,
+    )
--- /dev/null
+++ b/rushsaddle/jsonlog.py
@@ -0,0 +1,30 @@
+"""The log: one JSON line an event on standard output."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Callable
+from contextlib import suppress
+from typing import Any
+
+import orjson
+
+
+class Log:
+    def __init__(self, name: str, now_us: Callable[[], int], fd: int = 1) -> None:
+        self.name = name
+        self.now_us = now_us
+        self.fd = fd
+
+    def event(self, event: str, **fields: Any) -> None:
+        line = {"time": self.now_us() / 1e6, "node": self.name, "event": event, **fields}
+        with suppress(OSError):  # nobody reads the log: the requests matter more
+            os.write(self.fd, orjson.dumps(line, default=str, option=orjson.OPT_APPEND_NEWLINE))
+
+    def error(self, event: str, error: BaseException, **fields: Any) -> None:
+        trace = error.__traceback__
+        at = ""
+        while trace is not None:
+            at = f"{trace.tb_frame.f_code.co_filename}:{trace.tb_lineno}"
+            trace = trace.tb_next
+        self.event(event, error=f"{type(error).__name__}: {error}", at=at, **fields)
--- /dev/null
+++ b/rushsaddle/loop.py
@@ -0,0 +1,149 @@
+"""One epoll, coroutines made of generators, and timers.
+
+A coroutine waits by yielding a ``Wait``; it is resumed with the epoll mask of its descriptor, or
+with 0 where its time came or another coroutine woke it.  A wake says only "look again", so every
+wait stands in a loop that tests its own condition.
+"""
+
+from __future__ import annotations
+
+import heapq
+import select
+import time
+from collections import deque
+from collections.abc import Callable, Generator
+from typing import TypeVar
+
+T = TypeVar("T")
+
+
+class Wait:
+    """What a coroutine waits for: a descriptor, a time, or only another coroutine's wake."""
+
+    __slots__ = ("fd", "mask", "until_us")
+
+    def __init__(self, fd: int = -1, mask: int = 0, until_us: int | None = None) -> None:
+        self.fd = fd
+        self.mask = mask
+        self.until_us = until_us
+
+
+Coroutine = Generator[Wait, int, T]
+
+
+class Task:
+    """One coroutine and what it waits for."""
+
+    __slots__ = ("done", "fd", "generator", "queued", "round")
+
+    def __init__(self, generator: Coroutine[None]) -> None:
+        self.generator = generator
+        self.fd = -1
+        self.round = 0  # tells timers of an earlier wait from those of this one
+        self.queued = False
+        self.done = False
+
+
+class Clock:
+    """Microseconds since the Unix epoch, read from the monotonic clock: it never steps back."""
+
+    def __init__(self) -> None:
+        self.offset_us = time.time_ns() // 1000 - time.monotonic_ns() // 1000
+
+    def now_us(self) -> int:
+        return time.monotonic_ns() // 1000 + self.offset_us
+
+
+class Loop:
+    def __init__(self, clock: Clock, on_error: Callable[[BaseException], None]) -> None:
+        self.now_us = clock.now_us
+        self.on_error = on_error  # told of an exception that ended a coroutine
+        self.stopped = False
+        self._epoll = select.epoll()
+        self._masks: dict[int, int] = {}  # what epoll watches
+        self._waiting: dict[int, Task] = {}  # who waits for a descriptor
+        self._timers: list[tuple[int, int, Task, int]] = []
+        self._count = 0
+        self._runnable: deque[tuple[Task, int]] = deque()
+
+    def spawn(self, generator: Coroutine[None]) -> Task:
+        task = Task(generator)
+        self.wake(task)
+        return task
+
+    def wake(self, task: Task, mask: int = 0) -> None:
+        """Resume a coroutine in this turn; one that is already to be resumed stays so."""
+        if not task.queued and not task.done:
+            task.queued = True
+            self._runnable.append((task, mask))
+
+    def forget(self, fd: int) -> None:
+        """The descriptor is about to be closed by its owner."""
+        self._waiting.pop(fd, None)
+        if self._masks.pop(fd, None) is not None:
+            self._epoll.unregister(fd)
+
+    def run(self) -> None:
+        try:
+            while not self.stopped:
+                self._turn()
+        finally:
+            self._epoll.close()
+
+    def _turn(self) -> None:
+        for fd, mask in self._epoll.poll(self._patience()):
+            task = self._waiting.get(fd)
+            if task is not None:
+                self.wake(task, mask)
+            elif self._masks.pop(fd, None) is not None:
+                self._epoll.unregister(fd)  # nobody waits for it: it would be told again each turn
+        now = self.now_us()
+        timers = self._timers
+        while timers and timers[0][0] <= now:
+            _, _, task, number = heapq.heappop(timers)
+            if number == task.round:
+                self.wake(task)
+        runnable, self._runnable = self._runnable, deque()
+        for task, mask in runnable:
+            task.queued = False
+            self._resume(task, mask)
+
+    def _patience(self) -> float:
+        if self._runnable:
+            return 0.0
+        timers = self._timers
+        while timers and timers[0][3] != timers[0][2].round:
+            heapq.heappop(timers)
+        if not timers:
+            return -1.0
+        return max(0.0, (timers[0][0] - self.now_us()) / 1e6)
+
+    def _resume(self, task: Task, mask: int) -> None:
+        if task.fd >= 0 and self._waiting.get(task.fd) is task:
+            del self._waiting[task.fd]
+        task.fd = -1
+        task.round += 1
+        try:
+            wait = task.generator.send(mask) if task.round > 1 else next(task.generator)
+        except StopIteration:
+            task.done = True
+            return
+        except Exception as error:
+            task.done = True
+            self.on_error(error)
+            return
+        if wait.fd >= 0:
+            self._watch(task, wait.fd, wait.mask)
+        if wait.until_us is not None:
+            self._count += 1
+            heapq.heappush(self._timers, (wait.until_us, self._count, task, task.round))
+
+    def _watch(self, task: Task, fd: int, mask: int) -> None:
+        known = self._masks.get(fd)
+        if known is None:
+            self._epoll.register(fd, mask)
+        elif known != mask:
+            self._epoll.modify(fd, mask)
+        self._masks[fd] = mask
+        self._waiting[fd] = task
+        task.fd = fd
--- /dev/null
+++ b/rushsaddle/net/__init__.py
@@ -0,0 +1,1 @@
+"""What speaks HTTP on sockets: caller legs, next hops, discovery."""
--- /dev/null
+++ b/rushsaddle/net/caller.py
@@ -0,0 +1,326 @@
+"""Caller legs: connections from clients, and the requests that come in on them.
+
+Each leg is one coroutine that owns its connection; ``_leg`` is where it is given back.
+"""
+
+from __future__ import annotations
+
+import select
+import socket
+from collections.abc import Mapping
+from math import isfinite
+from typing import Any
+
+import h11
+
+from ..decider import Decider
+from ..jsonlog import Log
+from ..loop import Coroutine, Loop, Task, Wait
+from ..transaction import Answer, Job, Transaction, Verdict
+from .http import BODY_MOST, NO_DESCRIPTOR, Header, Request, Stream, end_to_end
+from .nexthop import Address, NextHops
+
+IDLE_US = 75_000_000  # a leg may stand idle for so long
+READ_US = 10_000_000  # a request must come whole within this time of its first byte
+WRITE_US = 5_000_000  # an answer must be taken within this time
+FULL_US = 20_000  # pause of accepting when there is no socket to be had
+DRAIN_ACCEPT_US = 500_000  # after SIGTERM new connections go on coming for a moment
+BACKLOG = 512
+HANGUP = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
+
+
+class Class:
+    """What a request of a class is owed."""
+
+    __slots__ = ("deadline_us", "number")
+
+    def __init__(self, number: int, deadline_us: int) -> None:
+        self.number = number
+        self.deadline_us = deadline_us
+
+
+class Refused(Exception):
+    """A request that makes no sense: its status, and whether its body may still be on the way."""
+
+    def __init__(self, status: int, why: str, unread: bool = True) -> None:
+        super().__init__(why)
+        self.status = status
+        self.unread = unread
+
+
+class Leg:
+    __slots__ = ("idle", "stream", "task")
+
+    def __init__(self, stream: Stream) -> None:
+        self.stream = stream
+        self.idle = False  # between requests
+        self.task: Task | None = None
+
+
+class Callers:
+    def __init__(
+        self, loop: Loop, log: Log, decider: Decider, hops: NextHops, classes: Mapping[str, Class],
+        tenants: Mapping[str, int], budget: int,
+    ) -> None:
+        self.loop = loop
+        self.log = log
+        self.decider = decider
+        self.hops = hops
+        self.classes = classes
+        self.tenants = tenants
+        self.budget = budget  # legs at once
+        self.legs: dict[Leg, None] = {}
+        self.draining = False  # no more requests than those that are on the way
+        self._listener: socket.socket | None = None
+        self._acceptor: Task | None = None
+        self._evicting: Leg | None = None
+
+    # ------------------------------------------------------------ accepting
+
+    def listen(self, address: Address) -> None:
+        self._listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._listener.bind(address)
+        self._listener.listen(BACKLOG)
+        self._acceptor = self.loop.spawn(self._accept(self._listener))
+
+    def _accept(self, listener: socket.socket) -> Coroutine[None]:
+        while not self.draining:
+            if len(self.legs) >= self.budget:
+                self._evict()
+                yield Wait(until_us=self.loop.now_us() + FULL_US)
+                continue
+            yield Wait(listener.fileno(), select.EPOLLIN)
+            if not self._accept_all(listener):
+                self._evict()
+                self.hops.evict()
+                yield Wait(until_us=self.loop.now_us() + FULL_US)
+
+    def _accept_all(self, listener: socket.socket) -> bool:
+        """Empty the backlog as far as the budget goes; False where there is no socket to be had."""
+        while len(self.legs) < self.budget:
+            try:
+                sock, _ = listener.accept()
+            except BlockingIOError:
+                return True
+            except OSError as error:
+                if error.errno in NO_DESCRIPTOR:
+                    return False
+                continue  # that connection ended in the backlog
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            leg = Leg(Stream(self.loop, sock, h11.SERVER))
+            self.legs[leg] = None
+            leg.task = self.loop.spawn(self._leg(leg))
+        return True
+
+    def _evict(self) -> None:
+        """Close the leg that has been idle longest; the order of ``legs`` is that of their last use."""
+        for leg in self.legs:
+            if leg.idle and leg.task is not None:
+                self._evicting = leg
+                self.loop.wake(leg.task)
+                return
+
+    def drain(self) -> Coroutine[None]:
+        """Take what is on the way, then let the legs end one by one."""
+        until = self.loop.now_us() + DRAIN_ACCEPT_US
+        while self.loop.now_us() < until:
+            yield Wait(until_us=until)
+        listener = self._listener
+        if listener is not None:
+            self._accept_all(listener)
+            self.draining = True
+            self.loop.forget(listener.fileno())
+            listener.close()
+        for leg in self.legs:
+            if leg.idle and leg.task is not None:
+                self.loop.wake(leg.task)
+
+    # ------------------------------------------------------------ one leg
+
+    def _leg(self, leg: Leg) -> Coroutine[None]:
+        try:
+            while (yield from self._request(leg)):
+                self.legs[leg] = self.legs.pop(leg)
+        except OSError:
+            pass  # the caller is gone
+        finally:
+            del self.legs[leg]
+            leg.stream.close()
+            if self._acceptor is not None and len(self.legs) == self.budget - 1:
+                self.loop.wake(self._acceptor)
+
+    def _request(self, leg: Leg) -> Coroutine[bool]:
+        """One request and its answer; True where the leg may carry another."""
+        stream = leg.stream
+        if not stream.h11.trailing_data[0] and not (yield from self._idle(leg)):
+            return False
+        until = self.loop.now_us() + READ_US
+        try:
+            head = yield from stream.next_event(until)
+            if isinstance(head, h11.ConnectionClosed):
+                return False
+            if head is None:
+                raise Refused(408, "the request did not come whole")
+            return (yield from self._serve(leg, head, until))
+        except Refused as refused:
+            body = f"{refused}\n".encode()
+            return (yield from self._reply(leg, refused.status, body, close=refused.unread))
+        except h11.RemoteProtocolError as error:
+            if stream.ended:
+                return False  # the caller left in the middle of a request
+            return (yield from self._reply(leg, error.error_status_hint, f"{error}\n".encode(), close=True))
+
+    def _idle(self, leg: Leg) -> Coroutine[bool]:
+        """Wait for the first byte of a request; False where the leg is to end without one."""
+        until = self.loop.now_us() + IDLE_US
+        leg.idle = True
+        try:
+            while not (yield Wait(leg.stream.sock.fileno(), select.EPOLLIN, until)):
+                late = self.draining or self._evicting is leg or self.loop.now_us() >= until
+                if late and not leg.stream.readable():
+                    return False
+            return True
+        finally:
+            leg.idle = False
+            if self._evicting is leg:
+                self._evicting = None
+
+    def _serve(self, leg: Leg, head: Any, until_us: int) -> Coroutine[bool]:
+        stream = leg.stream
+        headers: dict[bytes, bytes] = {}
+        for name, value in head.headers:
+            headers.setdefault(name, value)
+        length = headers.get(b"content-length")
+        chunked = b"transfer-encoding" in headers
+        unread = chunked or length not in (None, b"0")
+        path = head.target.partition(b"?")[0]
+        if path == b"/healthz":
+            if head.method not in (b"GET", b"HEAD"):
+                raise Refused(405, "GET only", unread)
+            return (yield from self._reply(leg, 503 if self.draining else 200, b"", close=unread))
+        cls = self.classes.get(path[1:].partition(b"/")[0].decode("latin-1"))
+        if cls is None:
+            raise Refused(404, "no such class", unread)
+        if head.method != b"POST":
+            raise Refused(405, "POST only", unread)
+        if length is None and not chunked:
+            raise Refused(411, "a length is needed")
+        if length is not None and int(length) > BODY_MOST:
+            raise Refused(413, "too long a body")
+        job, wait_us = self._job(headers, cls)
+        body = yield from self._body(stream, until_us)
+        received = self.loop.now_us()
+        payload = Request(head.method, head.target, end_to_end(head.headers.raw_items()), body)
+        transaction = self.decider.submit(job, payload, received, received + wait_us, lambda: self._wake(leg))
+        while transaction.answer is None:
+            if (yield Wait(stream.sock.fileno(), select.EPOLLRDHUP)) & HANGUP and transaction.answer is None:
+                transaction.gone()
+                self._log(transaction, headers)
+                return False
+        self._log(transaction, headers)
+        status, more = _http(transaction.answer)
+        return (yield from self._reply(leg, status, transaction.answer.result, more))
+
+    def _wake(self, leg: Leg) -> None:
+        assert leg.task is not None
+        self.loop.wake(leg.task)
+
+    def _body(self, stream: Stream, until_us: int) -> Coroutine[bytes]:
+        if stream.h11.they_are_waiting_for_100_continue:
+            stream.put([h11.InformationalResponse(status_code=100, headers=[])])
+            if not (yield from stream.flush(until_us)):
+                raise Refused(408, "the request did not come whole")
+        body = bytearray()
+        while not isinstance(event := (yield from stream.next_event(until_us)), h11.EndOfMessage):
+            if event is None:
+                raise Refused(408, "the request did not come whole")
+            body += event.data
+            if len(body) > BODY_MOST:
+                raise Refused(413, "too long a body")
+        return bytes(body)
+
+    def _job(self, headers: Mapping[bytes, bytes], cls: Class) -> tuple[Job, int]:
+        """What the headers tell, and how long the caller waits."""
+        if not headers.get(b"x-request-id"):
+            raise Refused(400, "X-Request-ID: missing")
+        wait_us = cls.deadline_us
+        if b"x-timeout" in headers:
+            wait_us = int(_number("X-Timeout", headers[b"x-timeout"]) * 1e6)
+        attrs: dict[str, float] = {}
+        for item in headers.get(b"x-attrs", b"").split(b","):
+            name, equals, value = item.strip().partition(b"=")
+            if name in (b"slots", b"memory"):
+                attrs[name.decode()] = _number("X-Attrs", value)
+            elif name and not equals:
+                raise Refused(400, "X-Attrs: not name=value")
+        key = ""
+        for crumb in headers.get(b"cookie", b"").split(b";"):
+            name, _, value = crumb.strip().partition(b"=")
+            if name == b"key":
+                key = value.decode("latin-1")
+        job = Job(
+            cls.number, attrs.get("slots", 1.0), attrs.get("memory", 0.0),
+            self.tenants.get(headers.get(b"x-tenant-id", b"").decode("latin-1"), 0), key,
+            headers.get(b"x-retried") == b"1", int(_number("X-Cost", headers.get(b"x-cost", b"0"))),
+        )
+        return job, wait_us
+
+    def _reply(
+        self, leg: Leg, status: int, body: bytes, more: list[Header] | None = None, close: bool = False
+    ) -> Coroutine[bool]:
+        stream = leg.stream
+        headers = [(b"Content-Length", b"%d" % len(body)), *(more or [])]
+        if close or self.draining:
+            headers.append((b"Connection", b"close"))
+        events: list[Any] = [h11.Response(status_code=status, headers=headers)]
+        if body:
+            events.append(h11.Data(data=body))
+        stream.put([*events, h11.EndOfMessage()])
+        until = self.loop.now_us() + WRITE_US
+        while not (yield from stream.flush(until)):
+            if self.loop.now_us() >= until:
+                return False
+        if close:
+            yield from stream.linger()
+            return False
+        while stream.h11.their_state is h11.SEND_BODY:  # the end of a request without a body
+            yield from stream.next_event(until)
+        if stream.h11.our_state is not h11.DONE or stream.h11.their_state is not h11.DONE:
+            return False
+        stream.h11.start_next_cycle()
+        return True
+
+    def _log(self, transaction: Transaction, headers: Mapping[bytes, bytes]) -> None:
+        answer = transaction.answer
+        self.log.event(
+            "transaction", id=headers[b"x-request-id"].decode("latin-1"), cls=transaction.job.cls,
+            answer=answer.verdict.value if answer is not None else "gone",
+            ms=(self.loop.now_us() - transaction.received_us) // 100 / 10,
+            branches=[
+                [b.worker, b.outcome.value if b.outcome is not None else "out",
+                 (b.began_us - transaction.received_us) // 100 / 10]
+                for b in transaction.branches
+            ],
+        )
+
+
+def _number(name: str, text: bytes) -> float:
+    try:
+        value = float(text)
+    except ValueError:
+        raise Refused(400, f"{name}: not a number") from None
+    if not isfinite(value) or value < 0:
+        raise Refused(400, f"{name}: out of range")
+    return value
+
+
+def _http(answer: Answer) -> tuple[int, list[Header]]:
+    if answer.verdict is Verdict.SERVED:
+        return 200, [(b"Content-Type", b"application/octet-stream")]
+    if answer.verdict is Verdict.REFUSED:
+        if answer.retry_after_us:
+            return 503, [(b"Retry-After", b"%.3f" % (answer.retry_after_us / 1e6))]
+        return 503, []
+    return (504 if answer.late else 502), []
--- /dev/null
+++ b/rushsaddle/net/discovery.py
@@ -0,0 +1,137 @@
+"""The list of next hops: one watch at a time, opened when the decisions subscribe."""
+
+from __future__ import annotations
+
+import select
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import h11
+import orjson
+
+from tansygw.interface import Event, ListKind, WorkerEntry, WorkerList, WorkerState
+
+from ..jsonlog import Log
+from ..loop import Coroutine, Loop, Task, Wait
+from .http import Lines, Stream
+from .nexthop import Address, NextHops
+
+LIST_MOST = 4 * 1024 * 1024  # bytes of one list
+ANSWER_US = 5_000_000  # a call may wait its turn for so long
+SILENCE_US = 3_500_000  # an empty line comes every 2 s: a watch this silent is dead
+STATES = {s.value: s for s in WorkerState}
+
+
+class Names:
+    """Zones and machine kinds are numbers to the decisions: their places in the settings' lists."""
+
+    def __init__(self, zones: list[Any], kinds: list[Any]) -> None:
+        self.zones = {name: n for n, name in enumerate(zones)}
+        self.kinds = {name: n for n, name in enumerate(kinds)}
+
+    def entries(self, targets: Any) -> list[tuple[WorkerEntry, Address]]:
+        """The entries of a list; raises ValueError, KeyError or TypeError on what is none."""
+        found = []
+        for target in targets:
+            state = STATES.get(target["state"])
+            if state is None:  # a state of later making: the entry is skipped
+                continue
+            host, _, port = str(target.get("endpoint") or "").rpartition(":")
+            if state is not WorkerState.GONE and not (host and port):
+                raise ValueError("endpoint: not host:port")
+            entry = WorkerEntry(
+                str(target["uid"]), state, self.zones.get(target.get("az"), -1),
+                self.kinds.get(target.get("model"), -1), int(target.get("pod_group") or 0),
+                float(target.get("capacity_hint", 1.0)), int(target.get("boot_ms") or 0) * 1000,
+            )
+            found.append((entry, (host, int(port or 0))))
+        return found
+
+
+class Discovery:
+    def __init__(
+        self, loop: Loop, log: Log, put: Callable[[Event], None], hops: NextHops, names: Names,
+        address: Address, connect_timeout_us: int,
+    ) -> None:
+        self.loop = loop
+        self.log = log
+        self.put = put
+        self.hops = hops
+        self.names = names
+        self.address = address
+        self.connect_timeout_us = connect_timeout_us
+        self.version = 0
+        self._owed = 0  # calls without an answer
+        self._task: Task | None = None
+
+    def start(self, known: Any) -> None:
+        """What was known before this start is the first event."""
+        self._tell(known, ListKind.SAVED)
+        self._task = self.loop.spawn(self._run())
+
+    def subscribe(self) -> None:
+        self._owed += 1
+        if self._task is not None:
+            self.loop.wake(self._task)
+
+    def _run(self) -> Coroutine[None]:
+        while True:
+            while not self._owed:
+                yield Wait()
+            try:
+                yield from self._watch()
+            except Exception as error:
+                self.log.error("discovery failed", error)
+                # Each call is answered by one event; the end of an answered watch is told, too.
+                for _ in range(max(1, self._owed)):
+                    self.put(WorkerList(ListKind.FAILED))
+                self._owed = 0
+
+    def _watch(self) -> Coroutine[None]:
+        """Follow the list until the watch breaks, or a further call asks for a new one."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        stream = Stream(self.loop, sock, h11.CLIENT)
+        try:
+            sock.connect_ex(self.address)
+            until = self.loop.now_us() + self.connect_timeout_us
+            while not (yield Wait(sock.fileno(), select.EPOLLOUT, until)):
+                if self.loop.now_us() >= until:
+                    raise TimeoutError("no connection in time")
+            target = f"/v1/servers?watch=1&after={self.version}"
+            request = h11.Request(method="GET", target=target, headers=[("Host", "discovery")])
+            stream.put([request, h11.EndOfMessage()])
+            patience = self.loop.now_us() + ANSWER_US
+            lines, answered = Lines(LIST_MOST), False
+            while not (answered and self._owed):
+                if not (yield from stream.flush(patience)):
+                    event = None
+                else:
+                    event = yield from stream.next_event(patience)
+                if event is None:  # woken by a further call, or too late
+                    if self.loop.now_us() >= patience:
+                        raise TimeoutError("silent")
+                elif isinstance(event, h11.Response):
+                    if event.status_code != 200:
+                        raise ConnectionError(f"status {event.status_code}")
+                elif isinstance(event, h11.Data):
+                    for line in lines.feed(bytes(event.data)):
+                        if line.strip():
+                            self._tell(orjson.loads(line), ListKind.CHANGES)
+                            for _ in range(self._owed - 1):
+                                self.put(WorkerList(ListKind.CHANGES, (), self.version))
+                            answered, self._owed = True, 0
+                    if answered:
+                        patience = self.loop.now_us() + SILENCE_US
+                elif not isinstance(event, h11.InformationalResponse):
+                    raise ConnectionError("the watch ended")
+        finally:
+            stream.close()
+
+    def _tell(self, fields: Any, kind: ListKind) -> None:
+        if kind is ListKind.CHANGES and fields.get("all"):
+            kind = ListKind.COMPLETE
+        entries = self.names.entries(fields["targets"])
+        self.version = int(fields["rev"])
+        self.hops.learn(kind is not ListKind.CHANGES, entries)
+        self.put(WorkerList(kind, tuple(entry for entry, _ in entries), self.version))
--- /dev/null
+++ b/rushsaddle/net/http.py
@@ -0,0 +1,152 @@
+"""HTTP/1.1 on one connection: h11's state between a ring for each direction."""
+
+from __future__ import annotations
+
+import errno
+import select
+import socket
+from collections.abc import Iterable, Iterator, Sequence
+from typing import Any
+
+import h11
+
+from ..loop import Coroutine, Loop, Wait
+from ..ring import Ring
+
+BODY_MOST = 64 * 1024  # of a request
+RING_MOST = 128 * 1024  # a request with its head fits in whole
+LINGER_US = 1_000_000  # how long a peer may go on sending what nobody reads
+NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+
+Header = tuple[bytes, bytes]
+
+# These belong to one connection, not to the request: they are made anew on the next one.
+HOP_BY_HOP = frozenset((
+    b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
+    b"content-length", b"expect",
+))
+
+
+class Stream:
+    """One connection.  Whoever made it owns it and closes it, in one place.
+
+    The coroutines here return early, with None or False, when the time is up or their task was
+    woken; the caller looks at why and goes on or stops.
+    """
+
+    __slots__ = ("_rest", "ended", "h11", "incoming", "loop", "outgoing", "sock")
+
+    def __init__(self, loop: Loop, sock: socket.socket, role: type[h11.CLIENT] | type[h11.SERVER]) -> None:
+        self.loop = loop
+        self.sock = sock
+        self.h11 = h11.Connection(role)
+        self.incoming = Ring(RING_MOST)
+        self.outgoing = Ring(RING_MOST)
+        self.ended = False  # the other side has ended its sending
+        self._rest = b""  # what the outgoing ring had no room for yet
+
+    def close(self) -> None:
+        self.loop.forget(self.sock.fileno())
+        self.sock.close()
+
+    def next_event(self, until_us: int) -> Coroutine[Any]:
+        """The next event of h11; raises OSError or h11.RemoteProtocolError."""
+        while True:
+            event = self.h11.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            mask = yield Wait(self.sock.fileno(), select.EPOLLIN, until_us)
+            if not mask:
+                return None
+            try:
+                self.ended = not self.incoming.receive(self.sock)
+            except BlockingIOError:
+                continue
+            if self.ended or len(self.incoming):
+                self.h11.receive_data(self.incoming.read())
+
+    def put(self, events: Iterable[Any]) -> None:
+        """Make the bytes of these events; flush sends them."""
+        self._rest += b"".join(self.h11.send(event) or b"" for event in events)
+
+    def flush(self, until_us: int) -> Coroutine[bool]:
+        """True once the last byte is handed to the system."""
+        while True:
+            if self._rest:
+                self._rest = self._rest[self.outgoing.write(self._rest) :]
+            if not len(self.outgoing):
+                return True
+            try:
+                self.outgoing.send(self.sock)
+            except BlockingIOError:
+                if not (yield Wait(self.sock.fileno(), select.EPOLLOUT, until_us)):
+                    return False
+
+    def readable(self) -> bool:
+        """Something, or the end, is there to be read."""
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            pass
+        return True
+
+    def linger(self) -> Coroutine[None]:
+        """End the sending and read the rest: closing at once would reset the answer away."""
+        until = self.loop.now_us() + LINGER_US
+        self.sock.shutdown(socket.SHUT_WR)
+        while (yield Wait(self.sock.fileno(), select.EPOLLIN, until)):
+            if not self.sock.recv(RING_MOST):
+                return
+
+
+class Request:
+    """What a caller asked for, to be passed on unchanged."""
+
+    __slots__ = ("body", "headers", "method", "target")
+
+    def __init__(self, method: bytes, target: bytes, headers: Sequence[Header], body: bytes) -> None:
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+
+    def events(self, timeout_us: int) -> list[Any]:
+        """As sent to a next hop that may take this long."""
+        headers = [*self.headers, (b"X-Timeout", b"%.3f" % (timeout_us / 1e6))]
+        headers.append((b"Content-Length", b"%d" % len(self.body)))
+        head = h11.Request(method=self.method, target=self.target, headers=headers)
+        return [head, h11.Data(data=self.body), h11.EndOfMessage()]
+
+
+def end_to_end(headers: Iterable[Header]) -> list[Header]:
+    """The headers that go on to the next hop; X-Timeout is told anew there."""
+    kept = list(headers)
+    drop = {b"x-timeout"}
+    for name, value in kept:
+        if name.lower() == b"connection":
+            drop.update(option.strip().lower() for option in value.split(b","))
+    return [(n, v) for n, v in kept if n.lower() not in HOP_BY_HOP and n.lower() not in drop]
+
+
+class LineTooLong(Exception):
+    """A next hop or discovery sends a line beyond all bounds."""
+
+
+class Lines:
+    """Whole lines out of pieces that are cut anywhere."""
+
+    __slots__ = ("_held", "most")
+
+    def __init__(self, most: int) -> None:
+        self.most = most
+        self._held = bytearray()
+
+    def feed(self, data: bytes) -> Iterator[bytes]:
+        self._held += data
+        *lines, rest = self._held.split(b"\n") if b"\n" in data else [self._held]
+        self._held = bytearray(rest)
+        if len(rest) > self.most:
+            raise LineTooLong(f"a line of over {self.most} bytes")
+        yield from map(bytes, lines)
--- /dev/null
+++ b/rushsaddle/net/nexthop.py
@@ -0,0 +1,356 @@
+"""Next hops: their kept connections, branches and probes.
+
+Every connection is owned by ``NextHops``.  It is either idle in its hop's pool or carries one
+branch or probe, and ``_release`` and ``_discard`` are where it is given back.
+"""
+
+from __future__ import annotations
+
+import errno
+import select
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import h11
+import orjson
+
+from tansygw.interface import CheckResult, Event, Outcome, Progress, Report, WorkerEntry, WorkerState
+from tansygw.settings import named_report
+
+from ..jsonlog import Log
+from ..loop import Coroutine, Loop, Wait
+from ..transaction import Branch
+from .http import BODY_MOST, NO_DESCRIPTOR, Lines, Request, Stream
+
+LINE_MOST = 8 * BODY_MOST  # a result in JSON may take six bytes for one
+FINISH_US = 500_000  # after the last object the rest of the answer must come this soon to keep the connection
+SWEEP_US = 1_000_000
+
+Address = tuple[str, int]
+
+
+class GaveUp(Exception):
+    """Cancelled, or the time is up."""
+
+
+class BadAnswer(Exception):
+    """The next hop's answer makes no sense."""
+
+
+class Probe:
+    """The patience of a probe, as a branch has it."""
+
+    __slots__ = ("cancelled", "until_us")
+
+    def __init__(self, until_us: int) -> None:
+        self.until_us = until_us
+        self.cancelled = False
+
+
+class Hop:
+    __slots__ = ("address", "idle", "listed", "uid")
+
+    def __init__(self, uid: str, address: Address) -> None:
+        self.uid = uid
+        self.address = address
+        self.listed = True
+        self.idle: list[Kept] = []  # the longest idle first
+
+
+class Kept:
+    """A connection to a next hop."""
+
+    __slots__ = ("address", "connected", "idle_since_us", "stream", "written")
+
+    def __init__(self, stream: Stream, address: Address) -> None:
+        self.stream = stream
+        self.address = address
+        self.connected = False
+        self.idle_since_us = 0
+        self.written = False  # the last byte of the present request is handed to the system
+
+
+class NextHops:
+    def __init__(
+        self, loop: Loop, log: Log, put: Callable[[Event], None], budget: int, connect_timeout_us: int,
+        idle_us: int, report_names: dict[str, str],
+    ) -> None:
+        self.loop = loop
+        self.log = log
+        self.put = put
+        self.budget = budget  # connections at once
+        self.connect_timeout_us = connect_timeout_us
+        self.probe_timeout_us = 2 * connect_timeout_us
+        self.idle_us = idle_us
+        self.report_names = report_names
+        self.hops: dict[str, Hop] = {}
+        self.open = 0
+
+    # ------------------------------------------------------------ the list
+
+    def learn(self, complete: bool, entries: list[tuple[WorkerEntry, Address]]) -> None:
+        """Addresses may change for a hop; one that is gone keeps its address until all is told."""
+        named = set()
+        for entry, address in entries:
+            named.add(entry.worker)
+            hop = self.hops.setdefault(entry.worker, Hop(entry.worker, address))
+            hop.listed = entry.state is not WorkerState.GONE
+            if not hop.listed or hop.address != address:
+                self._close_idle(hop)
+            if address[0]:
+                hop.address = address
+        for hop in self.hops.values():
+            if complete and hop.uid not in named:
+                hop.listed = False
+                self._close_idle(hop)
+
+    def _close_idle(self, hop: Hop) -> None:
+        while hop.idle:
+            self._discard(hop.idle.pop())
+
+    def sweep(self) -> Coroutine[None]:
+        """Close what has been idle too long or was closed, or written to, by the other side."""
+        while True:
+            yield Wait(until_us=self.loop.now_us() + SWEEP_US)
+            before = self.loop.now_us() - self.idle_us
+            for hop in self.hops.values():
+                kept, hop.idle = hop.idle, []
+                for connection in kept:
+                    if connection.idle_since_us < before or connection.stream.readable():
+                        self._discard(connection)
+                    else:
+                        hop.idle.append(connection)
+
+    # ------------------------------------------------------------ connections
+
+    def _take(self, hop: Hop) -> Kept | None:
+        """An idle connection of the hop, else a new one; None where there is no socket to be had."""
+        while hop.idle:
+            kept = hop.idle.pop()
+            # A request on a connection that was closed meanwhile would be lost, with no proof that
+            # it never ran; such a connection is readable.
+            if not kept.stream.readable():
+                kept.written = False
+                return kept
+            self._discard(kept)
+        if self.open >= self.budget and not self.evict():
+            return None
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        except OSError as error:
+            if error.errno not in NO_DESCRIPTOR or not self.evict():
+                self.log.error("no socket for a next hop", error)
+                return None
+            return self._take(hop)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.open += 1
+        return Kept(Stream(self.loop, sock, h11.CLIENT), hop.address)
+
+    def evict(self) -> bool:
+        """Give up the connection that has been idle longest."""
+        hops = [hop for hop in self.hops.values() if hop.idle]
+        if not hops:
+            return False
+        self._discard(min(hops, key=lambda hop: hop.idle[0].idle_since_us).idle.pop(0))
+        return True
+
+    def _release(self, hop: Hop, kept: Kept) -> None:
+        """Keep the connection for the next request."""
+        if not hop.listed or kept.address != hop.address:
+            self._discard(kept)
+            return
+        kept.stream.h11.start_next_cycle()
+        kept.idle_since_us = self.loop.now_us()
+        hop.idle.append(kept)
+
+    def _discard(self, kept: Kept) -> None:
+        self.open -= 1
+        kept.stream.close()
+
+    # ------------------------------------------------------------ one request to a hop
+
+    def _pause(self, kept: Kept, mask: int, until_us: int, patience: Branch | Probe) -> Coroutine[int]:
+        got = yield Wait(kept.stream.sock.fileno(), mask, until_us)
+        self._check_patience(patience)
+        return got
+
+    def _check_patience(self, patience: Branch | Probe) -> None:
+        if patience.cancelled or self.loop.now_us() >= patience.until_us:
+            raise GaveUp
+
+    def _ask(self, kept: Kept, events: Callable[[], list[Any]], patience: Branch | Probe) -> Coroutine[Any]:
+        """Connect where needed, write the request, and return the head of the answer."""
+        stream = kept.stream
+        if not kept.connected:
+            until = min(self.loop.now_us() + self.connect_timeout_us, patience.until_us)
+            code = stream.sock.connect_ex(kept.address)
+            if code == errno.EINPROGRESS:
+                while not (yield from self._pause(kept, select.EPOLLOUT, until, patience)):
+                    if self.loop.now_us() >= until:
+                        raise TimeoutError("no connection in time")
+                code = stream.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if code:
+                raise OSError(code, errno.errorcode.get(code, "connect"))
+            kept.connected = True
+        stream.put(events())
+        while not (yield from stream.flush(patience.until_us)):
+            self._check_patience(patience)
+        kept.written = True
+        while True:
+            event = yield from self._next(kept, patience)
+            if isinstance(event, h11.Response):
+                return event
+            if not isinstance(event, h11.InformationalResponse):
+                raise ConnectionError("no answer")
+
+    def _next(self, kept: Kept, patience: Branch | Probe) -> Coroutine[Any]:
+        while True:
+            event = yield from kept.stream.next_event(patience.until_us)
+            if event is not None:
+                return event
+            self._check_patience(patience)
+
+    def _outcome(self, error: Exception, kept: Kept, patience: Branch | Probe) -> Outcome:
+        """What an attempt that ended without a word of its own comes to."""
+        if patience.cancelled:
+            return Outcome.WITHDRAWN
+        if not kept.written:
+            return Outcome.UNREACHABLE
+        if isinstance(error, GaveUp):
+            return Outcome.TIMED_OUT
+        if isinstance(error, OSError) or kept.stream.ended:
+            return Outcome.BROKEN
+        return Outcome.FAILURE
+
+    def _report(self, text: Any) -> Report | None:
+        """A load report; one that cannot be read is none."""
+        if isinstance(text, bytes):
+            try:
+                text = orjson.loads(text)
+            except orjson.JSONDecodeError:
+                return None
+        return named_report(text, self.report_names)
+
+    # ------------------------------------------------------------ branches
+
+    def start(self, branch: Branch) -> bool:
+        """Carry a branch out; False where it cannot even begin."""
+        hop = self.hops.get(branch.worker)
+        kept = self._take(hop) if hop is not None else None
+        if hop is None or kept is None:
+            return False
+        task = self.loop.spawn(self._run(branch, hop, kept))
+        branch.on_cancel(lambda: self.loop.wake(task))
+        return True
+
+    def _run(self, branch: Branch, hop: Hop, kept: Kept) -> Coroutine[None]:
+        keep = False
+        try:
+            yield from self._exchange(branch, kept)
+            keep = yield from self._finished(kept)
+        except Exception as error:
+            outcome = self._outcome(error, kept, branch)
+            if branch.outcome is None and outcome not in (Outcome.WITHDRAWN, Outcome.TIMED_OUT):
+                self.log.error("branch ended", error, next_hop=branch.worker, outcome=outcome)
+            branch.end(self.loop.now_us(), outcome)
+        finally:
+            if keep:
+                self._release(hop, kept)
+            else:
+                self._discard(kept)
+
+    def _exchange(self, branch: Branch, kept: Kept) -> Coroutine[None]:
+        """Send the request and read on until the branch has its outcome."""
+        payload = branch.transaction.payload
+        assert isinstance(payload, Request)
+        head = yield from self._ask(
+            kept, lambda: payload.events(branch.until_us - self.loop.now_us()), branch
+        )
+        headers = dict(head.headers)
+        if head.status_code != 200:
+            unseen = head.status_code in (503, 504) and headers.get(b"x-not-processed") == b"1"
+            report = self._report(headers.get(b"x-server-load"))
+            branch.end(self.loop.now_us(), Outcome.OVERLOADED if unseen else Outcome.FAILURE, report)
+            return
+        lines = Lines(LINE_MOST)
+        while branch.outcome is None:
+            event = yield from self._next(kept, branch)
+            if not isinstance(event, h11.Data):
+                raise ConnectionError("the answer ended before its last object")
+            for line in lines.feed(bytes(event.data)):
+                if line.strip() and branch.outcome is None:
+                    self._object(branch, line)
+
+    def _object(self, branch: Branch, line: bytes) -> None:
+        try:
+            fields = orjson.loads(line)
+        except orjson.JSONDecodeError as error:
+            raise BadAnswer(f"not JSON: {error}") from None
+        if not isinstance(fields, dict):
+            raise BadAnswer("not an object")
+        state, load = fields.get("state"), self._report(fields.get("load"))
+        now = self.loop.now_us()
+        if state == "started":
+            branch.note(Progress.STARTED, 0.0)
+        elif state == "running":
+            share = fields.get("share")
+            if isinstance(share, int | float):
+                branch.note(Progress.SHARE_DONE, float(share))
+        elif state == "done":
+            result = fields.get("result", "")
+            branch.end(
+                now, Outcome.SUCCESS, load,
+                result.encode() if isinstance(result, str) else orjson.dumps(result),
+            )
+        elif state == "failed":
+            branch.end(now, Outcome.FAILURE, load)
+        elif state == "returned":
+            branch.end(now, Outcome.OVERLOADED, load)
+        elif state == "lost":
+            branch.end(now, Outcome.BROKEN, load)
+
+    def _finished(self, kept: Kept) -> Coroutine[bool]:
+        """Read the end of an answer whose outcome is known; True where the connection may be kept."""
+        until = self.loop.now_us() + FINISH_US
+        while self.loop.now_us() < until:
+            event = yield from kept.stream.next_event(until)
+            if isinstance(event, h11.EndOfMessage):
+                return kept.stream.h11.our_state is h11.DONE and kept.stream.h11.their_state is h11.DONE
+            if event is not None and not isinstance(event, h11.Data):
+                return False
+        return False
+
+    # ------------------------------------------------------------ probes
+
+    def check(self, worker: str) -> None:
+        hop = self.hops.get(worker)
+        kept = self._take(hop) if hop is not None else None
+        if hop is None or kept is None:
+            self.put(CheckResult(worker, Outcome.VOID))
+            return
+        self.loop.spawn(self._probe(hop, kept))
+
+    def _probe(self, hop: Hop, kept: Kept) -> Coroutine[None]:
+        began, keep = self.loop.now_us(), False
+        probe = Probe(began + self.probe_timeout_us)
+        outcome, report = Outcome.FAILURE, None
+        try:
+            request = h11.Request(method="GET", target="/load", headers=[("Host", hop.uid)])
+            head = yield from self._ask(kept, lambda: [request, h11.EndOfMessage()], probe)
+            body = b""
+            while isinstance(event := (yield from self._next(kept, probe)), h11.Data):
+                body += bytes(event.data)
+                if len(body) > BODY_MOST:
+                    raise BadAnswer("an endless load report")
+            keep = kept.stream.h11.their_state is h11.DONE and kept.stream.h11.our_state is h11.DONE
+            if head.status_code == 200:
+                outcome, report = Outcome.SUCCESS, self._report(body)
+        except Exception as error:
+            outcome = self._outcome(error, kept, probe)
+        finally:
+            self.put(CheckResult(hop.uid, outcome, self.loop.now_us() - began, report))
+            if keep:
+                self._release(hop, kept)
+            else:
+                self._discard(kept)
--- /dev/null
+++ b/rushsaddle/transaction.py
@@ -0,0 +1,127 @@
+"""A request from its last byte to its one final answer, and its branches.  No protocol is known here.
+
+``payload`` is what a next hop is to be sent; only the code that speaks the next hop's protocol
+looks into it.  Whoever brought the request is told by ``on_answer`` when the answer is there.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+from tansygw.interface import AttemptEnded, AttemptNote, Event, Outcome, Progress, Report, RequestGone
+
+
+class Verdict(Enum):
+    SERVED = "served"
+    REFUSED = "refused"  # trying again is harmless
+    FAILED = "failed"
+
+
+@dataclass(slots=True, frozen=True)
+class Answer:
+    verdict: Verdict
+    result: bytes = b""
+    retry_after_us: int = 0
+    late: bool = False  # FAILED: the time was up
+
+
+@dataclass(slots=True, frozen=True)
+class Job:
+    """What the decisions want to know of a request."""
+
+    cls: int
+    slots: float = 1.0
+    memory: float = 0.0
+    tenant: int = 0
+    key: str = ""
+    repeat: bool = False
+    expected_us: int = 0
+
+
+class Branch:
+    """One attempt: it ends with exactly one outcome."""
+
+    __slots__ = ("_stop", "began_us", "cancelled", "number", "outcome", "transaction", "until_us", "worker")
+
+    def __init__(self, transaction: Transaction, number: int, worker: str, now: int, until_us: int) -> None:
+        self.transaction = transaction
+        self.number = number
+        self.worker = worker
+        self.began_us = now
+        self.until_us = until_us
+        self.cancelled = False
+        self.outcome: Outcome | None = None
+        self._stop: Callable[[], None] = lambda: None
+
+    def on_cancel(self, stop: Callable[[], None]) -> None:
+        self._stop = stop
+
+    def cancel(self) -> None:
+        if self.outcome is None:
+            self.cancelled = True
+            self._stop()
+
+    def note(self, progress: Progress, value: float) -> None:
+        transaction = self.transaction
+        note = AttemptNote(transaction.number, self.number, self.worker, progress, value)
+        transaction.tell(note)
+
+    def end(self, now: int, outcome: Outcome, report: Report | None = None, result: bytes = b"") -> None:
+        """The outcome; the first success is the request's answer, at once."""
+        if self.outcome is not None:
+            return
+        self.outcome = outcome
+        transaction = self.transaction
+        transaction.out -= 1
+        if outcome is Outcome.SUCCESS:
+            transaction.finish(Answer(Verdict.SERVED, result))
+        transaction.tell(AttemptEnded(
+            transaction.number, self.number, self.worker, outcome, now - self.began_us,
+            transaction.over, report,
+        ))
+
+
+class Transaction:
+    __slots__ = ("answer", "branches", "deadline_us", "job", "number", "on_answer", "out", "over", "payload",
+                 "received_us", "tell")
+
+    def __init__(
+        self, number: int, job: Job, payload: object, received_us: int, deadline_us: int,
+        tell: Callable[[Event], None], on_answer: Callable[[], None],
+    ) -> None:
+        self.number = number  # the decisions' name for it
+        self.job = job
+        self.payload = payload
+        self.received_us = received_us
+        self.deadline_us = deadline_us
+        self.tell = tell
+        self.on_answer = on_answer
+        self.branches: list[Branch] = []
+        self.out = 0  # branches without an outcome
+        self.answer: Answer | None = None
+        self.over = False  # answered, or the caller has left
+
+    def branch(self, worker: str, timeout_us: int, now: int) -> Branch:
+        """A new branch, numbered in the order of the sends."""
+        until = self.deadline_us
+        if timeout_us:
+            until = min(until, now + timeout_us)
+        branch = Branch(self, len(self.branches), worker, now, until)
+        self.branches.append(branch)
+        self.out += 1
+        return branch
+
+    def finish(self, answer: Answer) -> None:
+        """The one final answer: the first one counts."""
+        if not self.over:
+            self.over = True
+            self.answer = answer
+            self.on_answer()
+
+    def gone(self) -> None:
+        """The caller has left: nothing more is owed."""
+        if not self.over:
+            self.over = True
+            self.tell(RequestGone(self.number))
