Play recorded exchanges against the node; tell refused callers when to come back

Seen while writing the exchanges, each now guarded by one: a result under another request's id was passed on (nexthop.py, _object); a figure such as X-Timeout 1e300 overflowed the poll's timeout and would have ended the node (loop.py, _patience; caller.py, _number has bounds now); closing right after an answer with bytes unread resets it away (caller.py, _reply lingers now).

Refuse carries a wait, chosen in the module (decide.py, _come_back): half a job's time, or until the first worker that turned jobs away is due again.

--- a/rushsaddle/loop.py
+++ b/rushsaddle/loop.py
@@ -16,6 +16,8 @@
 
 T = TypeVar("T")
 
+LONGEST = 60.0  # seconds in one poll: epoll refuses a wait of years
+
 
 class Wait:
     """What a coroutine waits for: a descriptor, a time, or only another coroutine's wake."""
@@ -116,7 +118,7 @@
             heapq.heappop(timers)
         if not timers:
             return -1.0
-        return max(0.0, (timers[0][0] - self.now_us()) / 1e6)
+        return min(LONGEST, max(0.0, (timers[0][0] - self.now_us()) / 1e6))
 
     def _resume(self, task: Task, mask: int) -> None:
         if task.fd >= 0 and self._waiting.get(task.fd) is task:
--- a/rushsaddle/net/caller.py
+++ b/rushsaddle/net/caller.py
@@ -8,7 +8,7 @@
 import select
 import socket
 from collections.abc import Mapping
-from math import isfinite
+from http import HTTPStatus
 from typing import Any
 
 import h11
@@ -22,10 +22,13 @@
 
 IDLE_US = 75_000_000  # a leg may stand idle for so long
 READ_US = 10_000_000  # a request must come whole within this time of its first byte
-WRITE_US = 5_000_000  # an answer must be taken within this time
+WRITE_US = 10_000_000  # an answer must be taken within this time
 FULL_US = 20_000  # pause of accepting when there is no socket to be had
 DRAIN_ACCEPT_US = 500_000  # after SIGTERM new connections go on coming for a moment
 BACKLOG = 512
+TIMEOUT_MOST = 86_400.0  # seconds; no figure of a caller may grow without bound in the decisions
+ATTR_MOST = 1e6
+COST_MOST = 1e12
 HANGUP = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
 
 
@@ -212,14 +215,15 @@
         job, wait_us = self._job(headers, cls)
         body = yield from self._body(stream, until_us)
         received = self.loop.now_us()
-        payload = Request(head.method, head.target, end_to_end(head.headers.raw_items()), body)
+        name = headers[b"x-request-id"].decode("latin-1")
+        payload = Request(name, head.method, head.target, end_to_end(head.headers.raw_items()), body)
         transaction = self.decider.submit(job, payload, received, received + wait_us, lambda: self._wake(leg))
         while transaction.answer is None:
             if (yield Wait(stream.sock.fileno(), select.EPOLLRDHUP)) & HANGUP and transaction.answer is None:
                 transaction.gone()
-                self._log(transaction, headers)
+                self._log(transaction, name)
                 return False
-        self._log(transaction, headers)
+        self._log(transaction, name)
         status, more = _http(transaction.answer)
         return (yield from self._reply(leg, status, transaction.answer.result, more))
 
@@ -247,12 +251,12 @@
             raise Refused(400, "X-Request-ID: missing")
         wait_us = cls.deadline_us
         if b"x-timeout" in headers:
-            wait_us = int(_number("X-Timeout", headers[b"x-timeout"]) * 1e6)
+            wait_us = int(_number("X-Timeout", headers[b"x-timeout"], TIMEOUT_MOST) * 1e6)
         attrs: dict[str, float] = {}
         for item in headers.get(b"x-attrs", b"").split(b","):
             name, equals, value = item.strip().partition(b"=")
             if name in (b"slots", b"memory"):
-                attrs[name.decode()] = _number("X-Attrs", value)
+                attrs[name.decode()] = _number("X-Attrs", value, ATTR_MOST)
             elif name and not equals:
                 raise Refused(400, "X-Attrs: not name=value")
         key = ""
@@ -260,10 +264,11 @@
             name, _, value = crumb.strip().partition(b"=")
             if name == b"key":
                 key = value.decode("latin-1")
+        cost = int(_number("X-Cost", headers.get(b"x-cost", b"0"), COST_MOST))
         job = Job(
             cls.number, attrs.get("slots", 1.0), attrs.get("memory", 0.0),
             self.tenants.get(headers.get(b"x-tenant-id", b"").decode("latin-1"), 0), key,
-            headers.get(b"x-retried") == b"1", int(_number("X-Cost", headers.get(b"x-cost", b"0"))),
+            headers.get(b"x-retried") == b"1", cost,
         )
         return job, wait_us
 
@@ -274,7 +279,9 @@
         headers = [(b"Content-Length", b"%d" % len(body)), *(more or [])]
         if close or self.draining:
             headers.append((b"Connection", b"close"))
-        events: list[Any] = [h11.Response(status_code=status, headers=headers)]
+        events: list[Any] = [h11.Response(
+            status_code=status, reason=HTTPStatus(status).phrase.encode(), headers=headers
+        )]
         if body:
             events.append(h11.Data(data=body))
         stream.put([*events, h11.EndOfMessage()])
@@ -282,7 +289,7 @@
         while not (yield from stream.flush(until)):
             if self.loop.now_us() >= until:
                 return False
-        if close:
+        if stream.h11.our_state is h11.MUST_CLOSE:
             yield from stream.linger()
             return False
         while stream.h11.their_state is h11.SEND_BODY:  # the end of a request without a body
@@ -292,10 +299,10 @@
         stream.h11.start_next_cycle()
         return True
 
-    def _log(self, transaction: Transaction, headers: Mapping[bytes, bytes]) -> None:
+    def _log(self, transaction: Transaction, name: str) -> None:
         answer = transaction.answer
         self.log.event(
-            "transaction", id=headers[b"x-request-id"].decode("latin-1"), cls=transaction.job.cls,
+            "transaction", id=name, cls=transaction.job.cls,
             answer=answer.verdict.value if answer is not None else "gone",
             ms=(self.loop.now_us() - transaction.received_us) // 100 / 10,
             branches=[
@@ -306,12 +313,12 @@
         )
 
 
-def _number(name: str, text: bytes) -> float:
+def _number(name: str, text: bytes, most: float) -> float:
     try:
         value = float(text)
     except ValueError:
         raise Refused(400, f"{name}: not a number") from None
-    if not isfinite(value) or value < 0:
+    if not 0 <= value <= most:
         raise Refused(400, f"{name}: out of range")
     return value
 
--- a/rushsaddle/net/http.py
+++ b/rushsaddle/net/http.py
@@ -6,6 +6,7 @@
 import select
 import socket
 from collections.abc import Iterable, Iterator, Sequence
+from contextlib import suppress
 from typing import Any
 
 import h11
@@ -58,13 +59,18 @@
             mask = yield Wait(self.sock.fileno(), select.EPOLLIN, until_us)
             if not mask:
                 return None
-            try:
-                self.ended = not self.incoming.receive(self.sock)
-            except BlockingIOError:
-                continue
+            self._receive()
             if self.ended or len(self.incoming):
                 self.h11.receive_data(self.incoming.read())
 
+    def _receive(self) -> None:
+        """Read what is there, up to the ring's bound; more stays with the system, which slows the sender."""
+        with suppress(BlockingIOError):
+            while not self.ended and self.incoming.room:
+                self.ended = not self.incoming.receive(self.sock)
+                if not self.incoming.full:
+                    return
+
     def put(self, events: Iterable[Any]) -> None:
         """Make the bytes of these events; flush sends them."""
         self._rest += b"".join(self.h11.send(event) or b"" for event in events)
@@ -104,9 +110,12 @@
 class Request:
     """What a caller asked for, to be passed on unchanged."""
 
-    __slots__ = ("body", "headers", "method", "target")
+    __slots__ = ("body", "headers", "id", "method", "target")
 
-    def __init__(self, method: bytes, target: bytes, headers: Sequence[Header], body: bytes) -> None:
+    def __init__(
+        self, id: str, method: bytes, target: bytes, headers: Sequence[Header], body: bytes
+    ) -> None:
+        self.id = id
         self.method = method
         self.target = target
         self.headers = headers
@@ -127,7 +136,10 @@
     for name, value in kept:
         if name.lower() == b"connection":
             drop.update(option.strip().lower() for option in value.split(b","))
-    return [(n, v) for n, v in kept if n.lower() not in HOP_BY_HOP and n.lower() not in drop]
+    passed = [(n, v) for n, v in kept if n.lower() not in HOP_BY_HOP and n.lower() not in drop]
+    if not any(n.lower() == b"host" for n, _ in passed):  # an HTTP/1.0 caller need not name one
+        passed.insert(0, (b"Host", b"localhost"))
+    return passed
 
 
 class LineTooLong(Exception):
--- a/rushsaddle/net/nexthop.py
+++ b/rushsaddle/net/nexthop.py
@@ -114,7 +114,9 @@
         while True:
             yield Wait(until_us=self.loop.now_us() + SWEEP_US)
             before = self.loop.now_us() - self.idle_us
-            for hop in self.hops.values():
+            for hop in list(self.hops.values()):
+                if not hop.listed:
+                    del self.hops[hop.uid]
                 kept, hop.idle = hop.idle, []
                 for connection in kept:
                     if connection.idle_since_us < before or connection.stream.readable():
@@ -280,15 +282,18 @@
                 raise ConnectionError("the answer ended before its last object")
             for line in lines.feed(bytes(event.data)):
                 if line.strip() and branch.outcome is None:
-                    self._object(branch, line)
+                    self._object(branch, payload.id, line)
 
-    def _object(self, branch: Branch, line: bytes) -> None:
+    def _object(self, branch: Branch, id: str, line: bytes) -> None:
+        """Take one object of the answer; raises BadAnswer."""
         try:
             fields = orjson.loads(line)
         except orjson.JSONDecodeError as error:
             raise BadAnswer(f"not JSON: {error}") from None
         if not isinstance(fields, dict):
             raise BadAnswer("not an object")
+        if fields.get("id", id) != id:  # another's result must not reach this caller
+            raise BadAnswer("the answer of another request")
         state, load = fields.get("state"), self._report(fields.get("load"))
         now = self.loop.now_us()
         if state == "started":
--- a/rushsaddle/ring.py
+++ b/rushsaddle/ring.py
@@ -23,6 +23,11 @@
     def room(self) -> int:
         return self.bound - self._size
 
+    @property
+    def full(self) -> bool:
+        """What there is of it is full; it may still grow."""
+        return self._size == len(self._data)
+
     def write(self, data: bytes) -> int:
         """Take as much as there is room for; how much that was."""
         count = min(len(data), self.room)
@@ -46,7 +51,7 @@
 
     def receive(self, sock: socket.socket) -> int:
         """Read once from the socket; 0 is its end.  The caller sees to it that there is room."""
-        if self._size == len(self._data):
+        if self.full:
             self._grow(self._size + 1)
         tail = (self._head + self._size) % len(self._data)
         end = self._head if tail < self._head else len(self._data)
--- a/tansygw/decide.py
+++ b/tansygw/decide.py
@@ -744,10 +744,20 @@
         if not request.out:
             self.requests.pop(request.id, None)
 
+    def _come_back(self) -> int:
+        """When a refused client should ask again: once a worker that turned jobs away, or could not be
+        reached, is due for another, and not before the jobs in work have given back some room."""
+        limits = self.settings.limits
+        if not limits.retry_after:
+            return 0
+        open_at = min((max(w.blocked, w.retry_at) for w in self.ready), default=self.now)
+        wait = max(self.settings.tick_us, int(self.busy_us / 2), open_at - self.now)
+        return min(wait, limits.max_retry_after_us or wait)
+
     def _answer(self, request: Request) -> None:
         """No further attempt: the final answer, a refusal where it is legal and the client has time left."""
         if request.may_refuse() and self.now < request.deadline - self.settings.tick_us:
-            self.actions.append(Refuse(request.id))
+            self.actions.append(Refuse(request.id, self._come_back()))
         else:
             self.actions.append(Fail(request.id))
         self._close(request)
--- /dev/null
+++ b/tests/play.py
@@ -0,0 +1,185 @@
+"""Plays a recorded exchange against a started node and compares what it sends, byte for byte.
+
+A recording is a text file.  ``#`` begins a comment, ``set NAME JSON`` changes a setting, and the other
+lines are steps of named parties:
+
+    c opens | a accepts h1 | w accepts discovery      a connection is there under the first name
+    c sends, c gets                                   the bytes follow in lines that begin with ``|``
+    c closes | c resets | c sees the end | h1 stops | h1 starts
+    pause 0.5 | signal TERM | node ends 0 | node says TEXT
+
+The lines of a block are joined by CRLF; escapes such as ``\\n`` work, and ``{*}`` stands for any
+text within a line.  ``{h1}`` is the address of a next hop.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import re
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import time
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+PATIENCE = 20.0  # seconds; only a failure waits for so long
+ROOT = Path(__file__).parent.parent
+SERVICES = [
+    {"Name": "single-text", "Effect": "dedup", "Group": "cell", "WindowUs": 7500000, "OnTimeUs": 75000,
+     "HardLimitUs": 5000000, "Worth": 8.0},
+    {"Name": "bulk-batch", "Effect": "fragile", "OnTimeUs": 250000, "HardLimitUs": 10000000, "Worth": 10.0},
+]
+SETTINGS: dict[str, Any] = {
+    "Azs": ["north", "south"], "Kinds": ["fast", "slow"], "Discovery": "pushed", "TickUs": 2000,
+    "Limits": {"Cancel": True, "SecondCopies": True, "RetryAfter": True, "MayProbe": False, "MaxAttempts": 4,
+               "MaxRetryAfterUs": 2000000, "ConnectTimeoutUs": 250000, "ConnIdleUs": 60000000},
+    "LoadReport": {"Names": ["x0"], "Via": "pull"}, "FamilyInfo": {"ReportX0": "free slots"},
+    "Rules": {"DrainGraceUs": 2000000, "MustAskInUs": 1000000},
+    "Services": SERVICES,
+}
+
+
+def listener(port: int = 0) -> socket.socket:
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(("127.0.0.1", port))
+    sock.listen(64)
+    sock.settimeout(PATIENCE)
+    return sock
+
+
+class Player:
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.listeners = {name: listener() for name in ("h1", "h2", "discovery")}
+        self.ports = {name: sock.getsockname()[1] for name, sock in self.listeners.items()}
+        self.open: dict[str, socket.socket] = {}
+        self.settings: dict[str, Any] = json.loads(json.dumps(SETTINGS))
+        self.limits = {"sockets": 256}
+        self.hops = ["h1"]
+        self.node: subprocess.Popen[bytes] | None = None
+        with listener() as free:
+            self.port = free.getsockname()[1]
+
+    # ------------------------------------------------------------ the node
+
+    def start(self) -> None:
+        targets = [
+            {"uid": f"s-{name}", "endpoint": f"127.0.0.1:{self.ports[name]}", "az": "north", "model": "fast",
+             "pod_group": 0, "state": "ready", "capacity_hint": 1.0, "boot_ms": 0}
+            for name in self.hops
+        ]
+        config = self.folder / "config.json"
+        config.write_text(json.dumps({
+            "name": "n0", "listen": f"127.0.0.1:{self.port}", "seed": "1f", "limits": self.limits,
+            "discovery": f"127.0.0.1:{self.ports['discovery']}", "settings": self.settings,
+            "known": {"rev": 41, "all": True, "targets": targets},
+        }))
+        env = {**os.environ, "GW_CONFIG": str(config)}
+        for name in ("GW_NAME", "GW_LISTEN", "GW_DISCOVERY"):
+            env.pop(name, None)
+        with open(self.folder / "log", "wb") as log:
+            self.node = subprocess.Popen(
+                [sys.executable, "-m", "rushsaddle"], cwd=ROOT, env=env, stdout=log, stderr=log
+            )
+        until = time.monotonic() + PATIENCE
+        while '"ready"' not in self.log() and self.node.poll() is None:
+            assert time.monotonic() < until, "the node did not start"
+            time.sleep(0.01)
+
+    def log(self) -> str:
+        return (self.folder / "log").read_text()
+
+    def stop(self) -> None:
+        if self.node is not None and self.node.poll() is None:
+            self.node.kill()
+            self.node.wait()
+        for sock in (*self.open.values(), *self.listeners.values()):
+            sock.close()
+
+    # ------------------------------------------------------------ the steps
+
+    def play(self, text: str) -> None:
+        lines = [line for line in text.splitlines() if line.strip() and not line.startswith("#")]
+        while lines:
+            words = lines.pop(0).split()
+            block = []
+            while lines and lines[0].startswith("|"):
+                block.append(lines.pop(0)[1:].removeprefix(" "))
+            self.step(words, "\r\n".join(block))
+
+    def step(self, words: list[str], block: str) -> None:
+        match words:
+            case ["set", "hops", *names]:
+                self.hops = names
+            case ["set", "sockets", count]:
+                self.limits["sockets"] = int(count)
+            case ["set", name, *value]:
+                place = self.settings
+                *path, last = name.split(".")
+                for part in path:
+                    place = place[part]
+                place[last] = json.loads(" ".join(value))
+            case _:
+                if self.node is None:
+                    self.start()
+                self.act(words, block)
+
+    def act(self, words: list[str], block: str) -> None:
+        assert self.node is not None
+        match words:
+            case [name, "opens"]:
+                self.open[name] = socket.create_connection(("127.0.0.1", self.port), PATIENCE)
+            case [name, "accepts", where]:
+                self.open[name] = self.listeners[where].accept()[0]
+                self.open[name].settimeout(PATIENCE)
+            case [name, "sends"]:
+                self.open[name].sendall(self.raw(block))
+            case [name, "gets"]:
+                self.compare(name, self.raw(block))
+            case [name, "closes"]:
+                self.open.pop(name).close()
+            case [name, "resets"]:
+                sock = self.open.pop(name)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                sock.close()
+            case [name, "sees", "the", "end"]:
+                with suppress(ConnectionResetError):
+                    assert self.open[name].recv(65536) == b""
+            case [name, "stops"]:
+                self.listeners.pop(name).close()
+            case [name, "starts"]:
+                self.listeners[name] = listener(self.ports[name])
+            case ["pause", seconds]:
+                time.sleep(float(seconds))
+            case ["signal", name]:
+                self.node.send_signal(getattr(signal, f"SIG{name}"))
+            case ["node", "ends", code]:
+                assert self.node.wait(PATIENCE) == int(code)
+            case ["node", "says", *text]:
+                assert " ".join(text) in self.log()
+            case _:
+                raise ValueError(f"no such step: {' '.join(words)}")
+
+    def raw(self, block: str) -> bytes:
+        for name, port in self.ports.items():
+            block = block.replace(f"{{{name}}}", f"127.0.0.1:{port}")
+        return block.encode("latin-1").decode("unicode_escape").encode("latin-1")
+
+    def compare(self, name: str, wanted: bytes) -> None:
+        pattern = re.compile(re.escape(wanted).replace(rb"\{\*\}", rb"[^\r\n]*"))
+        got = b""
+        while not pattern.fullmatch(got):
+            try:
+                piece = self.open[name].recv(65536)
+            except OSError:
+                piece = b""
+            if not piece:
+                assert got == wanted, f"{name} got {got!r}\n{self.log()}"
+                return
+            got += piece
--- /dev/null
+++ b/tests/test_exchanges.py
@@ -0,0 +1,21 @@
+"""Recorded exchanges, each played against a node of its own; what each guards against stands in it."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from .play import Player
+
+RECORDINGS = sorted((Path(__file__).parent / "exchanges").glob("*.txt"))
+
+
+@pytest.mark.parametrize("recording", RECORDINGS, ids=lambda path: path.stem)
+def test_recording(recording: Path, tmp_path: Path) -> None:
+    player = Player(tmp_path)
+    try:
+        player.play(recording.read_text())
+        assert "connection's code failed" not in player.log()
+    finally:
+        player.stop()
