--- a/rushsaddle/__main__.py
+++ b/rushsaddle/__main__.py
@@ -55,7 +55,7 @@
     def run(self) -> int:
         """Serve until a signal; raises OSError where the address is not to be had."""
         told = self.told
-        self.callers.listen(told.listen)
+        listen = self.callers.listen(told.listen)
         self.discovery.start(told.known)
         self.decider.start()
         self.loop.spawn(self.hops.sweep())
@@ -66,7 +66,7 @@
         signal.signal(signal.SIGINT, lambda *_: None)
         signal.set_wakeup_fd(far.fileno())
         self.loop.spawn(self._drain(signals))
-        self.log.event("ready", listen=f"{told.listen[0]}:{told.listen[1]}", next_hops=len(self.hops.hops))
+        self.log.event("ready", listen=listen, next_hops=len(self.hops.hops))
         self.loop.run()
         self.log.event("stopped", code=self.code)
         return self.code
--- a/rushsaddle/net/caller.py
+++ b/rushsaddle/net/caller.py
@@ -80,12 +80,15 @@
 
     # ------------------------------------------------------------ accepting
 
-    def listen(self, address: Address) -> None:
+    def listen(self, address: Address) -> str:
+        """Take connections from here on; the address, which names the port where 0 was asked for."""
         self._listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._listener.bind(address)
         self._listener.listen(BACKLOG)
         self._acceptor = self.loop.spawn(self._accept(self._listener))
+        host, port = self._listener.getsockname()
+        return f"{host}:{port}"
 
     def _accept(self, listener: socket.socket) -> Coroutine[None]:
         while not self.draining:
