--- a/rushsaddle/config.py
+++ b/rushsaddle/config.py
@@ -43,6 +43,20 @@
     return host, int(port)
 
 
+def _object(data: dict[str, Any], name: str) -> dict[str, Any]:
+    value = data.get(name)
+    if not isinstance(value, dict):
+        raise ConfigError(f"{name}: not an object")
+    return value
+
+
+def _seed(text: Any) -> int:
+    try:
+        return int(str(text), 16)
+    except ValueError:
+        raise ConfigError(f"seed: {text!r} is not a hexadecimal number") from None
+
+
 def read(env: Mapping[str, str] = os.environ) -> Config:
     path = env.get("GW_CONFIG")
     if not path:
@@ -65,20 +79,22 @@
 
 
 def _checked(data: dict[str, Any], env: Mapping[str, str]) -> Config:
-    raw = data["settings"]
+    raw = _object(data, "settings")
     settings, report_names = settings_from(raw)
     names = Names(raw.get("Azs") or [], raw.get("Kinds") or [])
-    known = data.get("known") or {"rev": 0, "targets": []}
+    known: dict[str, Any] = _object(data, "known") if "known" in data else {"rev": 0, "targets": []}
     names.entries(known["targets"])
     int(known["rev"])
-    sockets = int(data.get("limits", {}).get("sockets", 1024))
+    limits = _object(data, "limits") if "limits" in data else {}
+    sockets = int(limits.get("sockets", 1024))
     if sockets < 64:
         raise ConfigError("limits.sockets: at least 64 are needed")
+    idle_us = (raw.get("Limits") or {}).get("ConnIdleUs", 60_000_000)
     return Config(
         name=str(env.get("GW_NAME") or data.get("name") or "node"),
         listen=_address("listen", env.get("GW_LISTEN") or data.get("listen")),
         discovery=_address("discovery", env.get("GW_DISCOVERY") or data.get("discovery")),
-        seed=int(str(data.get("seed", "0")), 16),
+        seed=_seed(data.get("seed", "0")),
         sockets=sockets,
         known=known,
         settings=settings,
@@ -86,5 +102,5 @@
         class_names=tuple(c.name for c in settings.classes),
         tenant_names=tuple(t.name for t in settings.tenants),
         names=names,
-        conn_idle_us=int(raw.get("Limits", {}).get("ConnIdleUs", 60_000_000)),
+        conn_idle_us=int(idle_us),
     )
--- a/tests/play.py
+++ b/tests/play.py
@@ -5,7 +5,7 @@
 
     c opens | a accepts h1 | w accepts discovery      a connection is there under the first name
     c sends, c gets                                   the bytes follow in lines that begin with ``|``
-    c closes | c resets | c sees the end | h1 stops
+    c closes | c resets | c sees the end | h1 stops | h1 fills
     pause 0.5 | signal TERM | node ends 0 | node says TEXT
 
 The lines of a block are joined by CRLF; escapes such as ``\\n`` work, and ``{*}`` stands for any
@@ -17,6 +17,7 @@
 import json
 import os
 import re
+import resource
 import signal
 import socket
 import struct
@@ -60,6 +61,7 @@
         self.open: dict[str, socket.socket] = {}
         self.settings: dict[str, Any] = json.loads(json.dumps(SETTINGS))
         self.limits = {"sockets": 256}
+        self.files = 0  # descriptors that the system gives the node; 0: its usual
         self.hops = ["h1"]
         self.node: subprocess.Popen[bytes] | None = None
         self.port = 0  # of the node, which takes a free one and says which
@@ -85,6 +87,8 @@
             self.node = subprocess.Popen(
                 [sys.executable, "-m", "rushsaddle"], cwd=ROOT, env=env, stdout=log, stderr=log
             )
+        if self.files:
+            resource.prlimit(self.node.pid, resource.RLIMIT_NOFILE, (self.files, self.files))
         until = time.monotonic() + PATIENCE
         while (found := re.search(r'"ready","listen":"127.0.0.1:(\d+)"', self.log())) is None:
             assert self.node.poll() is None and time.monotonic() < until, "the node did not start"
@@ -116,6 +120,8 @@
         match words:
             case ["set", "hops", *names]:
                 self.hops = names
+            case ["set", "files", count]:
+                self.files = int(count)
             case ["set", "sockets", count]:
                 self.limits["sockets"] = int(count)
             case ["set", name, *value]:
@@ -152,6 +158,12 @@
                     assert self.open[name].recv(65536) == b""
             case [name, "stops"]:
                 self.listeners.pop(name).close()
+            case [name, "fills"]:  # its backlog is full: further connections never come up
+                self.listeners[name].listen(0)
+                for n in range(4):
+                    self.open[f"{name} filler {n}"] = sock = socket.socket()
+                    sock.setblocking(False)
+                    sock.connect_ex(("127.0.0.1", self.ports[name]))
             case ["pause", seconds]:
                 time.sleep(float(seconds))
             case ["signal", name]:
--- /dev/null
+++ b/tests/test_start.py
@@ -0,0 +1,69 @@
+"""A start that cannot succeed ends with one plain line; a fault in the decisions ends the node."""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from .play import PATIENCE, ROOT, SETTINGS, listener
+
+GOOD: dict[str, Any] = {
+    "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1f", "settings": SETTINGS,
+}
+BROKEN_MODULE = """
+import sys
+from tansygw import Dispatcher
+from rushsaddle.__main__ import main
+def step(*_): raise RuntimeError("lost count")
+Dispatcher.step = step
+sys.exit(main())
+"""
+
+
+def run(folder: Path, text: str, *command: str) -> subprocess.CompletedProcess[str]:
+    path = folder / "config.json"
+    path.write_text(text)
+    env = {k: v for k, v in os.environ.items() if not k.startswith("GW_")} | {"GW_CONFIG": str(path)}
+    return subprocess.run(
+        [sys.executable, *command], cwd=ROOT, env=env, capture_output=True, text=True, timeout=PATIENCE
+    )
+
+
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        ("{", "not JSON"),
+        ("[]", "not an object"),
+        (json.dumps({**GOOD, "settings": None}), "settings"),
+        (json.dumps({**GOOD, "settings": {**SETTINGS, "Services": []}}), "classes"),
+        (json.dumps({**GOOD, "listen": "here"}), "listen: 'here' is not host:port"),
+        (json.dumps({**GOOD, "seed": "xyz"}), "seed"),
+        (json.dumps({**GOOD, "limits": {"sockets": 8}}), "limits.sockets"),
+        (json.dumps({**GOOD, "known": {"rev": 1, "targets": [{"uid": "s-1"}]}}), "state: missing"),
+    ],
+)
+def test_a_bad_configuration_ends_the_start_with_one_line(tmp_path: Path, text: str, said: str) -> None:
+    done = run(tmp_path, text, "-m", "rushsaddle")
+    assert done.returncode == 2
+    assert done.stderr.startswith("rushsaddle: ") and done.stderr.count("\n") == 1
+    assert said in done.stderr
+
+
+def test_an_address_that_is_taken_ends_the_start_with_one_line(tmp_path: Path) -> None:
+    with listener() as taken:
+        port = taken.getsockname()[1]
+        done = run(tmp_path, json.dumps({**GOOD, "listen": f"127.0.0.1:{port}"}), "-m", "rushsaddle")
+    assert (done.returncode, done.stderr.count("\n")) == (2, 1)
+    assert "cannot listen" in done.stderr
+
+
+def test_a_fault_in_the_decisions_is_logged_and_ends_the_node(tmp_path: Path) -> None:
+    done = run(tmp_path, json.dumps(GOOD), "-c", BROKEN_MODULE)
+    assert done.returncode == 1
+    assert "RuntimeError: lost count" in done.stdout
