Give up the kept connections of a next hop whose probe goes unanswered

Seen: nothing failed yet. A machine that is cut off leaves its connections open and silent, so a request on a kept one is lost until its deadline and may have run, while a new connection that never comes up proves within ConnectTimeoutUs that nothing has.

--- a/rushsaddle/net/nexthop.py
+++ b/rushsaddle/net/nexthop.py
@@ -353,6 +353,11 @@
                 outcome, report = Outcome.SUCCESS, self._report(body)
         except Exception as error:
             outcome = self._outcome(error, kept, probe)
+            self.log.error("probe ended", error, next_hop=hop.uid, outcome=outcome)
+            if outcome is Outcome.TIMED_OUT:
+                # Perhaps the machine was cut off: its kept connections would swallow requests in
+                # silence, where a new one that never comes up proves that nothing has run.
+                self._close_idle(hop)
         finally:
             self.put(CheckResult(hop.uid, outcome, self.loop.now_us() - began, report))
             if keep:
