--- /dev/null
+++ b/Makefile
@@ -0,0 +1,21 @@
+# build: the environment that `run` uses; the rest works in any environment with '.[test]' installed.
+
+CONFIG ?= examples/config.json
+
+.PHONY: build test lint run toy
+
+build:
+	cmp -s requirements.txt .venv/built || (rm -rf .venv && python3 -m venv .venv \
+		&& .venv/bin/pip -q install -r requirements.txt && cp requirements.txt .venv/built)
+
+test:
+	pytest
+
+lint:
+	ruff check . && mypy
+
+run: build
+	GW_CONFIG=$(CONFIG) .venv/bin/python -m rushsaddle
+
+toy:
+	python3 examples/toy_server.py
--- /dev/null
+++ b/tests/test_example.py
@@ -0,0 +1,46 @@
+"""The example for newcomers works: toy servers, the example's settings, one request."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import os
+import re
+import subprocess
+import sys
+from pathlib import Path
+
+from .play import PATIENCE, ROOT
+
+
+def test_the_example_serves_a_request(tmp_path: Path) -> None:
+    toy = subprocess.Popen(
+        [sys.executable, "examples/toy_server.py", "0"], cwd=ROOT, stdout=subprocess.PIPE,
+        stderr=subprocess.DEVNULL, text=True,
+    )
+    node = None
+    try:
+        assert toy.stdout is not None
+        config = json.loads((ROOT / "examples/config.json").read_text())
+        config |= {"listen": "127.0.0.1:0", "discovery": toy.stdout.readline().split()[-1]}
+        (tmp_path / "config.json").write_text(json.dumps(config))
+        env = {k: v for k, v in os.environ.items() if not k.startswith("GW_")}
+        env["GW_CONFIG"] = str(tmp_path / "config.json")
+        node = subprocess.Popen(
+            [sys.executable, "-m", "rushsaddle"], cwd=ROOT, env=env, stdout=subprocess.PIPE, text=True
+        )
+        assert node.stdout is not None
+        ready = re.search(r'"listen":"([\d.]+):(\d+)"', node.stdout.readline())
+        assert ready is not None
+        caller = http.client.HTTPConnection(ready[1], int(ready[2]), timeout=PATIENCE)
+        caller.request("POST", "/single-text", b"hello", {"X-Request-ID": "r1"})
+        answer = caller.getresponse()
+        assert (answer.status, answer.read()) == (200, b"sent 5 bytes of text")
+        caller.close()
+        node.terminate()
+        assert node.wait(PATIENCE) == 0
+    finally:
+        for process in (toy, node):
+            if process is not None:
+                process.kill()
+                process.communicate()
