Use the house's words throughout; end late quiet legs when draining

Seen by reading: a leg taken from the backlog as the listener closes was not idle yet when idle legs are woken, and would have kept the node for 75 s (caller.py, _idle). A last object whose line lacks its end, in an answer that is complete, counted as broken (nexthop.py, _exchange).

--- a/rushsaddle/decider.py
+++ b/rushsaddle/decider.py
@@ -133,7 +133,7 @@
         if isinstance(action, Send):
             self._send(action, now)
         elif isinstance(action, Refuse):
-            self._finish(action.request, Answer(Verdict.REFUSED, retry_after_us=action.retry_after_us))
+            self._finish(action.request, Answer(Verdict.BUSY, retry_after_us=action.retry_after_us))
         elif isinstance(action, Fail):
             transaction = self.transactions.get(action.request)
             late = transaction is not None and now >= transaction.deadline_us - 2 * self.tick_us
--- a/rushsaddle/net/caller.py
+++ b/rushsaddle/net/caller.py
@@ -25,6 +25,7 @@
 WRITE_US = 10_000_000  # an answer must be taken within this time
 FULL_US = 20_000  # pause of accepting when there is no socket to be had
 DRAIN_ACCEPT_US = 500_000  # after SIGTERM new connections go on coming for a moment
+DRAIN_IDLE_US = 500_000  # a leg taken from the backlog at the very end may send its request within this
 BACKLOG = 512
 TIMEOUT_MOST = 86_400.0  # seconds; no figure of a caller may grow without bound in the decisions
 ATTR_MOST = 1e6
@@ -42,7 +43,7 @@
         self.deadline_us = deadline_us
 
 
-class Refused(Exception):
+class BadRequest(Exception):
     """A request that makes no sense: its status, and whether its body may still be on the way."""
 
     def __init__(self, status: int, why: str, unread: bool = True) -> None:
@@ -168,11 +169,11 @@
             if isinstance(head, h11.ConnectionClosed):
                 return False
             if head is None:
-                raise Refused(408, "the request did not come whole")
+                raise BadRequest(408, "the request did not come whole")
             return (yield from self._serve(leg, head, until))
-        except Refused as refused:
-            body = f"{refused}\n".encode()
-            return (yield from self._reply(leg, refused.status, body, close=refused.unread))
+        except BadRequest as bad:
+            body = f"{bad}\n".encode()
+            return (yield from self._reply(leg, bad.status, body, close=bad.unread))
         except h11.RemoteProtocolError as error:
             if stream.ended:
                 return False  # the caller left in the middle of a request
@@ -180,7 +181,7 @@
 
     def _idle(self, leg: Leg) -> Coroutine[bool]:
         """Wait for the first byte of a request; False where the leg is to end without one."""
-        until = self.loop.now_us() + IDLE_US
+        until = self.loop.now_us() + (DRAIN_IDLE_US if self.draining else IDLE_US)
         leg.idle = True
         try:
             while not (yield Wait(leg.stream.sock.fileno(), select.EPOLLIN, until)):
@@ -204,17 +205,17 @@
         path = head.target.partition(b"?")[0]
         if path == b"/healthz":
             if head.method not in (b"GET", b"HEAD"):
-                raise Refused(405, "GET only", unread)
+                raise BadRequest(405, "GET only", unread)
             return (yield from self._reply(leg, 503 if self.draining else 200, b"", close=unread))
         cls = self.classes.get(path[1:].partition(b"/")[0].decode("latin-1"))
         if cls is None:
-            raise Refused(404, "no such class", unread)
+            raise BadRequest(404, "no such class", unread)
         if head.method != b"POST":
-            raise Refused(405, "POST only", unread)
+            raise BadRequest(405, "POST only", unread)
         if length is None and not chunked:
-            raise Refused(411, "a length is needed")
+            raise BadRequest(411, "a length is needed")
         if length is not None and int(length) > BODY_MOST:
-            raise Refused(413, "too long a body")
+            raise BadRequest(413, "too long a body")
         job, wait_us = self._job(headers, cls)
         body = yield from self._body(stream, until_us)
         received = self.loop.now_us()
@@ -238,20 +239,20 @@
         if stream.h11.they_are_waiting_for_100_continue:
             stream.put([h11.InformationalResponse(status_code=100, headers=[])])
             if not (yield from stream.flush(until_us)):
-                raise Refused(408, "the request did not come whole")
+                raise BadRequest(408, "the request did not come whole")
         body = bytearray()
         while not isinstance(event := (yield from stream.next_event(until_us)), h11.EndOfMessage):
             if event is None:
-                raise Refused(408, "the request did not come whole")
+                raise BadRequest(408, "the request did not come whole")
             body += event.data
             if len(body) > BODY_MOST:
-                raise Refused(413, "too long a body")
+                raise BadRequest(413, "too long a body")
         return bytes(body)
 
     def _job(self, headers: Mapping[bytes, bytes], cls: Class) -> tuple[Job, int]:
         """What the headers tell, and how long the caller waits."""
         if not headers.get(b"x-request-id"):
-            raise Refused(400, "X-Request-ID: missing")
+            raise BadRequest(400, "X-Request-ID: missing")
         wait_us = cls.deadline_us
         if b"x-timeout" in headers:
             wait_us = int(_number("X-Timeout", headers[b"x-timeout"], TIMEOUT_MOST) * 1e6)
@@ -261,7 +262,7 @@
             if name in (b"slots", b"memory"):
                 attrs[name.decode()] = _number("X-Attrs", value, ATTR_MOST)
             elif name and not equals:
-                raise Refused(400, "X-Attrs: not name=value")
+                raise BadRequest(400, "X-Attrs: not name=value")
         key = ""
         for crumb in headers.get(b"cookie", b"").split(b";"):
             name, _, value = crumb.strip().partition(b"=")
@@ -297,7 +298,7 @@
             return False
         while stream.h11.their_state is h11.SEND_BODY:  # the end of a request without a body
             yield from stream.next_event(until)
-        if stream.h11.our_state is not h11.DONE or stream.h11.their_state is not h11.DONE:
+        if not stream.done:
             return False
         stream.h11.start_next_cycle()
         return True
@@ -320,16 +321,16 @@
     try:
         value = float(text)
     except ValueError:
-        raise Refused(400, f"{name}: not a number") from None
+        raise BadRequest(400, f"{name}: not a number") from None
     if not 0 <= value <= most:
-        raise Refused(400, f"{name}: out of range")
+        raise BadRequest(400, f"{name}: out of range")
     return value
 
 
 def _http(answer: Answer) -> tuple[int, list[Header]]:
     if answer.verdict is Verdict.SERVED:
         return 200, [(b"Content-Type", b"application/octet-stream")]
-    if answer.verdict is Verdict.REFUSED:
+    if answer.verdict is Verdict.BUSY:
         if answer.retry_after_us:
             return 503, [(b"Retry-After", b"%.3f" % (answer.retry_after_us / 1e6))]
         return 503, []
--- a/rushsaddle/net/http.py
+++ b/rushsaddle/net/http.py
@@ -88,6 +88,11 @@
                 if not (yield Wait(self.sock.fileno(), select.EPOLLOUT, until_us)):
                     return False
 
+    @property
+    def done(self) -> bool:
+        """Request and answer are over, and the connection may carry another."""
+        return self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE
+
     def readable(self) -> bool:
         """Something, or the end, is there to be read."""
         try:
--- a/rushsaddle/net/nexthop.py
+++ b/rushsaddle/net/nexthop.py
@@ -55,10 +55,10 @@
         self.uid = uid
         self.address = address
         self.listed = True
-        self.idle: list[Kept] = []  # the longest idle first
+        self.idle: list[Connection] = []  # the longest idle first
 
 
-class Kept:
+class Connection:
     """A connection to a next hop."""
 
     __slots__ = ("address", "connected", "idle_since_us", "stream", "written")
@@ -117,8 +117,8 @@
             for hop in list(self.hops.values()):
                 if not hop.listed:
                     del self.hops[hop.uid]
-                kept, hop.idle = hop.idle, []
-                for connection in kept:
+                idle, hop.idle = hop.idle, []
+                for connection in idle:
                     if connection.idle_since_us < before or connection.stream.readable():
                         self._discard(connection)
                     else:
@@ -126,16 +126,16 @@
 
     # ------------------------------------------------------------ connections
 
-    def _take(self, hop: Hop) -> Kept | None:
+    def _take(self, hop: Hop) -> Connection | None:
         """An idle connection of the hop, else a new one; None where there is no socket to be had."""
         while hop.idle:
-            kept = hop.idle.pop()
+            connection = hop.idle.pop()
             # A request on a connection that was closed meanwhile would be lost, with no proof that
             # it never ran; such a connection is readable.
-            if not kept.stream.readable():
-                kept.written = False
-                return kept
-            self._discard(kept)
+            if not connection.stream.readable():
+                connection.written = False
+                return connection
+            self._discard(connection)
         if self.open >= self.budget and not self.evict():
             return None
         try:
@@ -147,7 +147,7 @@
             return self._take(hop)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.open += 1
-        return Kept(Stream(self.loop, sock, h11.CLIENT), hop.address)
+        return Connection(Stream(self.loop, sock, h11.CLIENT), hop.address)
 
     def evict(self) -> bool:
         """Give up the connection that has been idle longest."""
@@ -157,71 +157,69 @@
         self._discard(min(hops, key=lambda hop: hop.idle[0].idle_since_us).idle.pop(0))
         return True
 
-    def _release(self, hop: Hop, kept: Kept) -> None:
+    def _release(self, hop: Hop, connection: Connection) -> None:
         """Keep the connection for the next request."""
-        if not hop.listed or kept.address != hop.address:
-            self._discard(kept)
+        if not hop.listed or connection.address != hop.address:
+            self._discard(connection)
             return
-        kept.stream.h11.start_next_cycle()
-        kept.idle_since_us = self.loop.now_us()
-        hop.idle.append(kept)
+        connection.stream.h11.start_next_cycle()
+        connection.idle_since_us = self.loop.now_us()
+        hop.idle.append(connection)
 
-    def _discard(self, kept: Kept) -> None:
+    def _discard(self, connection: Connection) -> None:
         self.open -= 1
-        kept.stream.close()
+        connection.stream.close()
 
     # ------------------------------------------------------------ one request to a hop
 
-    def _pause(self, kept: Kept, mask: int, until_us: int, patience: Branch | Probe) -> Coroutine[int]:
-        got = yield Wait(kept.stream.sock.fileno(), mask, until_us)
-        self._check_patience(patience)
-        return got
-
     def _check_patience(self, patience: Branch | Probe) -> None:
         if patience.cancelled or self.loop.now_us() >= patience.until_us:
             raise GaveUp
 
-    def _ask(self, kept: Kept, events: Callable[[], list[Any]], patience: Branch | Probe) -> Coroutine[Any]:
+    def _ask(
+        self, connection: Connection, events: Callable[[], list[Any]], patience: Branch | Probe
+    ) -> Coroutine[Any]:
         """Connect where needed, write the request, and return the head of the answer."""
-        stream = kept.stream
-        if not kept.connected:
+        stream = connection.stream
+        if not connection.connected:
             until = min(self.loop.now_us() + self.connect_timeout_us, patience.until_us)
-            code = stream.sock.connect_ex(kept.address)
+            code = stream.sock.connect_ex(connection.address)
             if code == errno.EINPROGRESS:
-                while not (yield from self._pause(kept, select.EPOLLOUT, until, patience)):
+                while not (yield Wait(stream.sock.fileno(), select.EPOLLOUT, until)):
+                    self._check_patience(patience)
                     if self.loop.now_us() >= until:
                         raise TimeoutError("no connection in time")
                 code = stream.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
             if code:
                 raise OSError(code, errno.errorcode.get(code, "connect"))
-            kept.connected = True
+            connection.connected = True
         stream.put(events())
         while not (yield from stream.flush(patience.until_us)):
             self._check_patience(patience)
-        kept.written = True
+        connection.written = True
         while True:
-            event = yield from self._next(kept, patience)
+            event = yield from self._next(connection, patience)
             if isinstance(event, h11.Response):
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise ConnectionError("no answer")
 
-    def _next(self, kept: Kept, patience: Branch | Probe) -> Coroutine[Any]:
+    def _next(self, connection: Connection, patience: Branch | Probe) -> Coroutine[Any]:
         while True:
-            event = yield from kept.stream.next_event(patience.until_us)
+            event = yield from connection.stream.next_event(patience.until_us)
             if event is not None:
                 return event
             self._check_patience(patience)
 
-    def _outcome(self, error: Exception, kept: Kept, patience: Branch | Probe) -> Outcome:
+    def _outcome(self, error: Exception, connection: Connection, patience: Branch | Probe) -> Outcome:
         """What an attempt that ended without a word of its own comes to."""
         if patience.cancelled:
             return Outcome.WITHDRAWN
-        if not kept.written:
+        if not connection.written:
             return Outcome.UNREACHABLE
         if isinstance(error, GaveUp):
             return Outcome.TIMED_OUT
-        if isinstance(error, OSError) or kept.stream.ended:
+        if isinstance(error, OSError) or connection.stream.ended:
             return Outcome.BROKEN
         return Outcome.FAILURE
 
@@ -239,50 +237,55 @@
     def start(self, branch: Branch) -> bool:
         """Carry a branch out; False where it cannot even begin."""
         hop = self.hops.get(branch.worker)
-        kept = self._take(hop) if hop is not None else None
-        if hop is None or kept is None:
+        connection = self._take(hop) if hop is not None else None
+        if hop is None or connection is None:
             return False
-        task = self.loop.spawn(self._run(branch, hop, kept))
+        task = self.loop.spawn(self._run(branch, hop, connection))
         branch.on_cancel(lambda: self.loop.wake(task))
         return True
 
-    def _run(self, branch: Branch, hop: Hop, kept: Kept) -> Coroutine[None]:
+    def _run(self, branch: Branch, hop: Hop, connection: Connection) -> Coroutine[None]:
         keep = False
         try:
-            yield from self._exchange(branch, kept)
-            keep = yield from self._finished(kept)
+            keep = yield from self._exchange(branch, connection)
         except Exception as error:
-            outcome = self._outcome(error, kept, branch)
+            outcome = self._outcome(error, connection, branch)
             if branch.outcome is None and outcome not in (Outcome.WITHDRAWN, Outcome.TIMED_OUT):
                 self.log.error("branch ended", error, next_hop=branch.worker, outcome=outcome)
             branch.end(self.loop.now_us(), outcome)
         finally:
             if keep:
-                self._release(hop, kept)
+                self._release(hop, connection)
             else:
-                self._discard(kept)
+                self._discard(connection)
 
-    def _exchange(self, branch: Branch, kept: Kept) -> Coroutine[None]:
-        """Send the request and read on until the branch has its outcome."""
+    def _exchange(self, branch: Branch, connection: Connection) -> Coroutine[bool]:
+        """Send the request and read the answer; True where the connection may be kept."""
         payload = branch.transaction.payload
         assert isinstance(payload, Request)
         head = yield from self._ask(
-            kept, lambda: payload.events(branch.until_us - self.loop.now_us()), branch
+            connection, lambda: payload.events(branch.until_us - self.loop.now_us()), branch
         )
         headers = dict(head.headers)
         if head.status_code != 200:
             unseen = head.status_code in (503, 504) and headers.get(b"x-not-processed") == b"1"
             report = self._report(headers.get(b"x-server-load"))
             branch.end(self.loop.now_us(), Outcome.OVERLOADED if unseen else Outcome.FAILURE, report)
-            return
+            return (yield from self._finished(connection))
         lines = Lines(LINE_MOST)
         while branch.outcome is None:
-            event = yield from self._next(kept, branch)
-            if not isinstance(event, h11.Data):
-                raise ConnectionError("the answer ended before its last object")
-            for line in lines.feed(bytes(event.data)):
+            event = yield from self._next(connection, branch)
+            more = isinstance(event, h11.Data)
+            # The last line may lack its end, where the answer ends with it.
+            for line in lines.feed(bytes(event.data) if more else b"\n"):
                 if line.strip() and branch.outcome is None:
                     self._object(branch, payload.id, line)
+            if not more:
+                ended = isinstance(event, h11.EndOfMessage)
+                if not ended or branch.outcome is None:
+                    raise ConnectionError("the answer ended before its last object")
+                return connection.stream.done
+        return (yield from self._finished(connection))
 
     def _object(self, branch: Branch, id: str, line: bytes) -> None:
         """Take one object of the answer; raises BadAnswer."""
@@ -315,13 +318,13 @@
         elif state == "lost":
             branch.end(now, Outcome.BROKEN, load)
 
-    def _finished(self, kept: Kept) -> Coroutine[bool]:
+    def _finished(self, connection: Connection) -> Coroutine[bool]:
         """Read the end of an answer whose outcome is known; True where the connection may be kept."""
         until = self.loop.now_us() + FINISH_US
         while self.loop.now_us() < until:
-            event = yield from kept.stream.next_event(until)
+            event = yield from connection.stream.next_event(until)
             if isinstance(event, h11.EndOfMessage):
-                return kept.stream.h11.our_state is h11.DONE and kept.stream.h11.their_state is h11.DONE
+                return connection.stream.done
             if event is not None and not isinstance(event, h11.Data):
                 return False
         return False
@@ -330,29 +333,29 @@
 
     def check(self, worker: str) -> None:
         hop = self.hops.get(worker)
-        kept = self._take(hop) if hop is not None else None
-        if hop is None or kept is None:
+        connection = self._take(hop) if hop is not None else None
+        if hop is None or connection is None:
             self.put(CheckResult(worker, Outcome.VOID))
             return
-        self.loop.spawn(self._probe(hop, kept))
+        self.loop.spawn(self._probe(hop, connection))
 
-    def _probe(self, hop: Hop, kept: Kept) -> Coroutine[None]:
+    def _probe(self, hop: Hop, connection: Connection) -> Coroutine[None]:
         began, keep = self.loop.now_us(), False
         probe = Probe(began + self.probe_timeout_us)
         outcome, report = Outcome.FAILURE, None
         try:
             request = h11.Request(method="GET", target="/load", headers=[("Host", hop.uid)])
-            head = yield from self._ask(kept, lambda: [request, h11.EndOfMessage()], probe)
+            head = yield from self._ask(connection, lambda: [request, h11.EndOfMessage()], probe)
             body = b""
-            while isinstance(event := (yield from self._next(kept, probe)), h11.Data):
+            while isinstance(event := (yield from self._next(connection, probe)), h11.Data):
                 body += bytes(event.data)
                 if len(body) > BODY_MOST:
                     raise BadAnswer("an endless load report")
-            keep = kept.stream.h11.their_state is h11.DONE and kept.stream.h11.our_state is h11.DONE
+            keep = connection.stream.done
             if head.status_code == 200:
                 outcome, report = Outcome.SUCCESS, self._report(body)
         except Exception as error:
-            outcome = self._outcome(error, kept, probe)
+            outcome = self._outcome(error, connection, probe)
             self.log.error("probe ended", error, next_hop=hop.uid, outcome=outcome)
             if outcome is Outcome.TIMED_OUT:
                 # Perhaps the machine was cut off: its kept connections would swallow requests in
@@ -361,6 +364,6 @@
         finally:
             self.put(CheckResult(hop.uid, outcome, self.loop.now_us() - began, report))
             if keep:
-                self._release(hop, kept)
+                self._release(hop, connection)
             else:
-                self._discard(kept)
+                self._discard(connection)
--- a/rushsaddle/transaction.py
+++ b/rushsaddle/transaction.py
@@ -15,7 +15,7 @@
 
 class Verdict(Enum):
     SERVED = "served"
-    REFUSED = "refused"  # trying again is harmless
+    BUSY = "busy"  # a busy answer: trying again is harmless
     FAILED = "failed"
 
 
