--- a/tests/play.py
+++ b/tests/play.py
@@ -9,7 +9,7 @@
     pause 0.5 | signal TERM | node ends 0 | node says TEXT
 
 The lines of a block are joined by CRLF; escapes such as ``\\n`` work, and ``{*}`` stands for any
-text within a line.  ``{h1}`` is the address of a next hop.
+text within a line.  ``{h1}`` is the address of a next hop, ``{x*9}`` is nine times ``x``.
 """
 
 from __future__ import annotations
@@ -178,6 +178,7 @@
     def raw(self, block: str) -> bytes:
         for name, port in self.ports.items():
             block = block.replace(f"{{{name}}}", f"127.0.0.1:{port}")
+        block = re.sub(r"\{(.)\*(\d+)\}", lambda m: m[1] * int(m[2]), block)
         return block.encode("latin-1").decode("unicode_escape").encode("latin-1")
 
     def compare(self, name: str, wanted: bytes) -> None:
