Let recordings wait for what the node says, not for a time

Two recordings slept 0.2 and 0.3 s for the node to have read something, which a stalled machine could outlast. The node logs each list it takes, and the player waits for that line.

--- a/rushsaddle/net/discovery.py
+++ b/rushsaddle/net/discovery.py
@@ -134,4 +134,5 @@
         entries = self.names.entries(fields["targets"])
         self.version = int(fields["rev"])
         self.hops.learn(kind is not ListKind.CHANGES, entries)
+        self.log.event("list", kind=kind, version=self.version, entries=len(entries))
         self.put(WorkerList(kind, tuple(entry for entry, _ in entries), self.version))
--- a/tests/play.py
+++ b/tests/play.py
@@ -171,7 +171,10 @@
             case ["node", "ends", code]:
                 assert self.node.wait(PATIENCE) == int(code)
             case ["node", "says", *text]:
-                assert " ".join(text) in self.log()
+                until = time.monotonic() + PATIENCE
+                while " ".join(text) not in self.log():
+                    assert time.monotonic() < until, f"not said: {' '.join(text)}"
+                    time.sleep(0.01)
             case _:
                 raise ValueError(f"no such step: {' '.join(words)}")
 
--- a/tests/test_example.py
+++ b/tests/test_example.py
@@ -30,8 +30,8 @@
             [sys.executable, "-m", "rushsaddle"], cwd=ROOT, env=env, stdout=subprocess.PIPE, text=True
         )
         assert node.stdout is not None
-        ready = re.search(r'"listen":"([\d.]+):(\d+)"', node.stdout.readline())
-        assert ready is not None
+        lines = iter(node.stdout.readline, "")
+        ready = next(filter(None, (re.search(r'"listen":"([\d.]+):(\d+)"', line) for line in lines)))
         caller = http.client.HTTPConnection(ready[1], int(ready[2]), timeout=PATIENCE)
         caller.request("POST", "/single-text", b"hello", {"X-Request-ID": "r1"})
         answer = caller.getresponse()
