Take literal addresses only: a name's look-up would stop the node

Seen by reading: an endpoint that is a host name made connect_ex look it up inside the loop, which stops every leg and branch meanwhile (nexthop.py, _ask). Addresses are checked where they come in, from the configuration and from discovery.

--- a/rushsaddle/config.py
+++ b/rushsaddle/config.py
@@ -13,7 +13,7 @@
 from tansygw.settings import settings_from
 
 from .net.discovery import Names
-from .net.nexthop import Address
+from .net.nexthop import Address, address
 
 
 class ConfigError(Exception):
@@ -37,10 +37,10 @@
 
 
 def _address(name: str, text: Any) -> Address:
-    host, _, port = str(text or "").rpartition(":")
-    if not host or not port.isdigit() or not 0 <= int(port) < 65536:
-        raise ConfigError(f"{name}: {text!r} is not host:port")
-    return host, int(port)
+    try:
+        return address(text)
+    except ValueError as error:
+        raise ConfigError(f"{name}: {error}") from None
 
 
 def _object(data: dict[str, Any], name: str) -> dict[str, Any]:
--- a/rushsaddle/net/discovery.py
+++ b/rushsaddle/net/discovery.py
@@ -15,11 +15,12 @@
 from ..jsonlog import Log
 from ..loop import Coroutine, Loop, Task, Wait
 from .http import Lines, Stream
-from .nexthop import Address, NextHops
+from .nexthop import Address, NextHops, address
 
 LIST_MOST = 4 * 1024 * 1024  # bytes of one list
 ANSWER_US = 5_000_000  # a call may wait its turn for so long
 SILENCE_US = 3_500_000  # an empty line comes every 2 s: a watch this silent is dead
+NOWHERE = ("", 0)  # an entry that is gone need not tell where it was
 STATES = {s.value: s for s in WorkerState}
 
 
@@ -37,15 +38,13 @@
             state = STATES.get(target["state"])
             if state is None:  # a state of later making: the entry is skipped
                 continue
-            host, _, port = str(target.get("endpoint") or "").rpartition(":")
-            if state is not WorkerState.GONE and not (host and port):
-                raise ValueError("endpoint: not host:port")
+            where = address(target["endpoint"]) if state is not WorkerState.GONE else NOWHERE
             entry = WorkerEntry(
                 str(target["uid"]), state, self.zones.get(target.get("az"), -1),
                 self.kinds.get(target.get("model"), -1), int(target.get("pod_group") or 0),
                 float(target.get("capacity_hint", 1.0)), int(target.get("boot_ms") or 0) * 1000,
             )
-            found.append((entry, (host, int(port or 0))))
+            found.append((entry, where))
         return found
 
 
--- a/rushsaddle/net/nexthop.py
+++ b/rushsaddle/net/nexthop.py
@@ -10,6 +10,7 @@
 import select
 import socket
 from collections.abc import Callable
+from ipaddress import IPv4Address
 from typing import Any
 
 import h11
@@ -30,6 +31,17 @@
 Address = tuple[str, int]
 
 
+def address(text: Any) -> Address:
+    """Where something listens.  Names are not taken: looking one up would stop the whole node."""
+    host, _, port = str(text).rpartition(":")
+    try:
+        if 0 <= int(port) < 65536:
+            return str(IPv4Address(host)), int(port)
+    except ValueError:
+        pass
+    raise ValueError(f"{text!r} is not an IPv4 address and port")
+
+
 class GaveUp(Exception):
     """Cancelled, or the time is up."""
 
