Refuse heads that can be read in two ways, and a second copy of an open id

Checked: h11 keeps Transfer-Encoding and drops Content-Length, then gives the rest as the next request of the leg (Callers._serve took both headers without a word). It also joins folded lines, takes '2, 2' or the same length twice, and ends lines at a bare LF, so the check reads the bytes as they came (odd_framing). Ruled out: passing the two framings on to the next hop (Request.events always states one length). Also: an id that is open or has a branch out gets 409, float() no longer reads 1_0, Connection may not name the id away.

--- a/rushsaddle/decider.py
+++ b/rushsaddle/decider.py
@@ -54,6 +54,7 @@
         self.hops: Hops | None = None
         self.subscribe: Callable[[], None] = lambda: None
         self.transactions: dict[int, Transaction] = {}
+        self.names: set[str] = set()  # of all transactions that are open, or have a branch out
         self.stepped_us = 0
         self._count = 0
         self._queue: deque[Event | Transaction] = deque()
@@ -67,11 +68,15 @@
         self._enqueue(event)
 
     def submit(
-        self, job: Job, payload: object, received_us: int, deadline_us: int, on_answer: Callable[[], None]
+        self, name: str, job: Job, payload: object, received_us: int, deadline_us: int,
+        on_answer: Callable[[], None],
     ) -> Transaction:
-        """A request has come whole: it is owed an answer from here on."""
+        """A request has come whole: it is owed an answer from here on.  Its name must not be in use."""
         self._count += 1
-        transaction = Transaction(self._count, job, payload, received_us, deadline_us, self.put, on_answer)
+        self.names.add(name)
+        transaction = Transaction(
+            self._count, name, job, payload, received_us, deadline_us, self.put, on_answer
+        )
         self._enqueue(transaction)
         return transaction
 
@@ -127,6 +132,7 @@
             transaction = self.transactions.get(number)
             if transaction is not None and transaction.over and not transaction.out:
                 del self.transactions[number]
+                self.names.remove(transaction.name)
 
     def _act(self, action: Action, now: int) -> None:
         assert self.hops is not None
--- a/rushsaddle/net/caller.py
+++ b/rushsaddle/net/caller.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import re
 import select
 import socket
 from collections.abc import Mapping
@@ -17,7 +18,7 @@
 from ..jsonlog import Log
 from ..loop import Coroutine, Loop, Task, Wait
 from ..transaction import Answer, Job, Transaction, Verdict
-from .http import BODY_MOST, NO_DESCRIPTOR, Header, Request, Stream, end_to_end
+from .http import BODY_MOST, NO_DESCRIPTOR, Header, Request, Stream, end_to_end, odd_framing
 from .nexthop import Address, NextHops
 
 IDLE_US = 75_000_000  # a leg may stand idle for so long
@@ -30,6 +31,7 @@
 TIMEOUT_MOST = 86_400.0  # seconds; no figure of a caller may grow without bound in the decisions
 ATTR_MOST = 1e6
 COST_MOST = 1e12
+NUMBER = re.compile(rb"[0-9]+(\.[0-9]*)?([eE][-+]?[0-9]+)?")
 HANGUP = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
 
 
@@ -165,11 +167,13 @@
             return False
         until = self.loop.now_us() + READ_US
         try:
-            head = yield from stream.next_event(until)
+            head, raw = yield from stream.head(until)
             if isinstance(head, h11.ConnectionClosed):
                 return False
             if head is None:
                 raise BadRequest(408, "the request did not come whole")
+            if why := odd_framing(raw):
+                raise BadRequest(400, why)
             return (yield from self._serve(leg, head, until))
         except BadRequest as bad:
             body = f"{bad}\n".encode()
@@ -219,15 +223,19 @@
         job, wait_us = self._job(headers, cls)
         body = yield from self._body(stream, until_us)
         received = self.loop.now_us()
-        name = headers[b"x-request-id"].decode("latin-1")
+        name = headers[b"x-request-id"].decode("ascii")
+        if name in self.decider.names:
+            raise BadRequest(409, "X-Request-ID: the id of an open request", unread=False)
         payload = Request(name, head.method, head.target, end_to_end(head.headers.raw_items()), body)
-        transaction = self.decider.submit(job, payload, received, received + wait_us, lambda: self._wake(leg))
+        transaction = self.decider.submit(
+            name, job, payload, received, received + wait_us, lambda: self._wake(leg)
+        )
         while transaction.answer is None:
             if (yield Wait(stream.sock.fileno(), select.EPOLLRDHUP)) & HANGUP and transaction.answer is None:
                 transaction.gone()
-                self._log(transaction, name)
+                self._log(transaction)
                 return False
-        self._log(transaction, name)
+        self._log(transaction)
         status, more = _http(transaction.answer)
         return (yield from self._reply(leg, status, transaction.answer.result, more))
 
@@ -303,10 +311,10 @@
         stream.h11.start_next_cycle()
         return True
 
-    def _log(self, transaction: Transaction, name: str) -> None:
+    def _log(self, transaction: Transaction) -> None:
         answer = transaction.answer
         self.log.event(
-            "transaction", id=name, cls=transaction.job.cls,
+            "transaction", id=transaction.name, cls=transaction.job.cls,
             answer=answer.verdict.value if answer is not None else "gone",
             ms=(self.loop.now_us() - transaction.received_us) // 100 / 10,
             branches=[
@@ -318,10 +326,9 @@
 
 
 def _number(name: str, text: bytes, most: float) -> float:
-    try:
-        value = float(text)
-    except ValueError:
-        raise BadRequest(400, f"{name}: not a number") from None
+    if not NUMBER.fullmatch(text):  # float() takes more: 1_0, infinity
+        raise BadRequest(400, f"{name}: not a number")
+    value = float(text)
     if not 0 <= value <= most:
         raise BadRequest(400, f"{name}: out of range")
     return value
--- a/rushsaddle/net/http.py
+++ b/rushsaddle/net/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import re
 import select
 import socket
 from collections.abc import Iterable, Iterator, Sequence
@@ -26,6 +27,13 @@
     b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
     b"content-length", b"expect",
 ))
+# The next hop acts on these: no Connection header may name them away.
+ALWAYS = frozenset((b"x-request-id", b"idempotency-key"))
+ONCE = frozenset((
+    b"host", b"content-length", b"transfer-encoding", b"x-request-id", b"idempotency-key", b"x-timeout",
+))
+HEAD_END = re.compile(rb"\n\r?\n")
+ID = re.compile(rb"[!-+\--~]{1,128}")  # what can be seen, without a comma: those join repeated headers
 
 
 class Stream:
@@ -63,6 +71,20 @@
             if self.ended or len(self.incoming):
                 self.h11.receive_data(self.incoming.read())
 
+    def head(self, until_us: int) -> Coroutine[tuple[Any, bytes]]:
+        """The first event of a request, and the very bytes that it began with: h11 tidies some away."""
+        while True:
+            raw = self.h11.trailing_data[0]
+            event = self.h11.next_event()
+            if event is not h11.NEED_DATA:
+                return event, raw
+            mask = yield Wait(self.sock.fileno(), select.EPOLLIN, until_us)
+            if not mask:
+                return None, raw
+            self._receive()
+            if self.ended or len(self.incoming):
+                self.h11.receive_data(self.incoming.read())
+
     def _receive(self) -> None:
         """Read what is there, up to the ring's bound; more stays with the system, which slows the sender."""
         with suppress(BlockingIOError):
@@ -134,6 +156,34 @@
         return [head, h11.Data(data=self.body), h11.EndOfMessage()]
 
 
+def odd_framing(raw: bytes) -> str:
+    """Why the head that these bytes begin with may be read in two ways; empty where it may not.
+
+    h11 drops a Content-Length beside a Transfer-Encoding, joins folded lines, takes "5, 5" or the same
+    length twice, and lets lines end without CR.  Whoever reads such a head in the other way finds
+    another request in its body.
+    """
+    end = HEAD_END.search(raw)
+    lines = (raw[: end.start() + 1] if end else raw).removesuffix(b"\r\n").split(b"\r\n")
+    seen: dict[bytes, bytes] = {}
+    for line in lines:
+        if b"\n" in line or line[:1] in (b" ", b"\t"):
+            return "a folded line, or one that does not end in CR LF"
+        name, _, value = line.partition(b":")
+        name = name.lower()
+        if name in ONCE:
+            if name in seen:
+                return "a header that may come only once came twice"
+            seen[name] = value.strip(b" \t")
+    if b"transfer-encoding" in seen and (b"content-length" in seen or lines[0].endswith(b"HTTP/1.0")):
+        return "two framings"
+    if not seen.get(b"content-length", b"0").isdigit():
+        return "Content-Length: not a number"
+    if b"x-request-id" in seen and not ID.fullmatch(seen[b"x-request-id"]):
+        return "X-Request-ID: not an id"
+    return ""
+
+
 def end_to_end(headers: Iterable[Header]) -> list[Header]:
     """The headers that go on to the next hop; X-Timeout is told anew there."""
     kept = list(headers)
@@ -141,6 +191,7 @@
     for name, value in kept:
         if name.lower() == b"connection":
             drop.update(option.strip().lower() for option in value.split(b","))
+    drop -= ALWAYS
     passed = [(n, v) for n, v in kept if n.lower() not in HOP_BY_HOP and n.lower() not in drop]
     if not any(n.lower() == b"host" for n, _ in passed):  # an HTTP/1.0 caller need not name one
         passed.insert(0, (b"Host", b"localhost"))
--- a/rushsaddle/transaction.py
+++ b/rushsaddle/transaction.py
@@ -84,14 +84,15 @@
 
 
 class Transaction:
-    __slots__ = ("answer", "branches", "deadline_us", "job", "number", "on_answer", "out", "over", "payload",
-                 "received_us", "tell")
+    __slots__ = ("answer", "branches", "deadline_us", "job", "name", "number", "on_answer", "out", "over",
+                 "payload", "received_us", "tell")
 
     def __init__(
-        self, number: int, job: Job, payload: object, received_us: int, deadline_us: int,
+        self, number: int, name: str, job: Job, payload: object, received_us: int, deadline_us: int,
         tell: Callable[[Event], None], on_answer: Callable[[], None],
     ) -> None:
         self.number = number  # the decisions' name for it
+        self.name = name  # the caller's
         self.job = job
         self.payload = payload
         self.received_us = received_us
