Follow discovery to its new address at SIGHUP, which used to end the node

Checked: no handler for SIGHUP (Node.run); GW_DISCOVERY overrides the file in config.read, so a reread alone would have kept the old address. Without 'after' it answers all:true with every sender, 0.26 s after SIGHUP. Ruled out: waiting for the old watch to break (1.5 s) and then for the module's back-off (up to 7.5 s). Now one task heeds all signals; Discovery.move leaves the old watch at once, asks again each 0.2 s for 4 s, and one list event still answers each Subscribe.

--- a/rushsaddle/__main__.py
+++ b/rushsaddle/__main__.py
@@ -7,6 +7,7 @@
 import signal
 import socket
 import sys
+from dataclasses import fields
 
 from tansygw import Dispatcher
 
@@ -22,6 +23,25 @@
 DRAIN_LOOK_US = 20_000
 
 
+TAKEN = ("discovery", "sockets")  # what a new configuration changes without a restart
+
+
+def _budget(sockets: int) -> int:
+    """As many caller legs as branches, probes and idle next hops."""
+    return (sockets - SPARE) // 2
+
+
+def _signals() -> socket.socket:
+    """Where the numbers of signals arrive; from now on none of these ends the process by itself."""
+    signals, far = socket.socketpair()
+    signals.setblocking(False)
+    far.setblocking(False)
+    signal.set_wakeup_fd(far.detach(), warn_on_full_buffer=False)
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, lambda *_: None)
+    return signals
+
+
 class Node:
     """One of each part, put together."""
 
@@ -35,7 +55,7 @@
             self.loop, self.log, Dispatcher(settings, told.seed), settings.tick_us, limits.max_attempts,
             self.fault,
         )
-        budget = (told.sockets - SPARE) // 2  # as many legs as branches, probes and idle next hops
+        budget = _budget(told.sockets)
         connect_us = limits.connect_timeout_us or 250_000
         self.hops = NextHops(
             self.loop, self.log, self.decider.put, budget, connect_us, told.conn_idle_us // 2,
@@ -52,20 +72,14 @@
         self.deadline_us = max(c.deadline_us for c in settings.classes)
         self.told = told
 
-    def run(self) -> int:
-        """Serve until a signal; raises OSError where the address is not to be had."""
+    def run(self, signals: socket.socket) -> int:
+        """Serve until a signal to end; raises OSError where the address is not to be had."""
         told = self.told
         listen = self.callers.listen(told.listen)
         self.discovery.start(told.known)
         self.decider.start()
         self.loop.spawn(self.hops.sweep())
-        signals, far = socket.socketpair()
-        signals.setblocking(False)
-        far.setblocking(False)
-        signal.signal(signal.SIGTERM, lambda *_: None)
-        signal.signal(signal.SIGINT, lambda *_: None)
-        signal.set_wakeup_fd(far.fileno())
-        self.loop.spawn(self._drain(signals))
+        self.loop.spawn(self._heed(signals))
         self.log.event("ready", listen=listen, next_hops=len(self.hops.hops))
         self.loop.run()
         self.log.event("stopped", code=self.code)
@@ -76,9 +90,35 @@
         self.code = 1
         self.loop.stopped = True
 
-    def _drain(self, signals: socket.socket) -> Coroutine[None]:
-        """At a signal: take what is on the way, finish what is held, stop."""
-        yield Wait(signals.fileno(), select.EPOLLIN)
+    def _heed(self, signals: socket.socket) -> Coroutine[None]:
+        """The one task for signals: a byte each, its number."""
+        draining = False
+        while True:
+            yield Wait(signals.fileno(), select.EPOLLIN)
+            told = signals.recv(4096)
+            if signal.SIGHUP in told:
+                self._reload()
+            if not draining and (signal.SIGTERM in told or signal.SIGINT in told):
+                draining = True
+                self.loop.spawn(self._drain())
+
+    def _reload(self) -> None:
+        """Take the file as it is now, what can be taken without a restart; a bad one changes nothing."""
+        began = self.loop.now_us()
+        try:
+            told = config.reread()
+        except config.ConfigError as error:
+            self.log.error("configuration kept", error)
+            return
+        old, self.told = self.told, told
+        self.discovery.move(told.discovery)
+        self.hops.budget = self.callers.budget = _budget(told.sockets)
+        late = [f.name for f in fields(told) if getattr(told, f.name) != getattr(old, f.name)]
+        late = [name for name in late if name not in TAKEN]
+        self.log.event("configuration read", at_next_start=late, us=self.loop.now_us() - began)
+
+    def _drain(self) -> Coroutine[None]:
+        """Take what is on the way, finish what is held, stop."""
         self.log.event("draining", legs=len(self.callers.legs))
         yield from self.callers.drain()
         until = self.loop.now_us() + self.deadline_us
@@ -88,6 +128,7 @@
 
 
 def main() -> int:
+    signals = _signals()
     try:
         node = Node(config.read())
     except (config.ConfigError, ValueError) as error:
@@ -96,7 +137,7 @@
     gc.freeze()
     gc.set_threshold(50_000, 20, 100)  # few cycles are made; collecting often costs more than it frees
     try:
-        return node.run()
+        return node.run(signals)
     except OSError as error:
         print(f"rushsaddle: cannot listen on {node.told.listen}: {error}", file=sys.stderr)
         return 2
--- a/rushsaddle/config.py
+++ b/rushsaddle/config.py
@@ -78,10 +78,15 @@
         raise ConfigError(f"{path}: {error}") from None
 
 
+def reread(env: Mapping[str, str] = os.environ) -> Config:
+    """The file as it is now.  It tells where discovery has moved, whatever the environment said at first."""
+    return read({name: value for name, value in env.items() if name != "GW_DISCOVERY"})
+
+
 def _checked(data: dict[str, Any], env: Mapping[str, str]) -> Config:
     raw = _object(data, "settings")
     settings, report_names = settings_from(raw)
-    names = Names(raw.get("Azs") or [], raw.get("Kinds") or [])
+    names = Names.of(raw.get("Azs") or [], raw.get("Kinds") or [])
     known: dict[str, Any] = _object(data, "known") if "known" in data else {"rev": 0, "targets": []}
     names.entries(known["targets"])
     int(known["rev"])
--- a/rushsaddle/net/discovery.py
+++ b/rushsaddle/net/discovery.py
@@ -1,10 +1,11 @@
-"""The list of next hops: one watch at a time, opened when the decisions subscribe."""
+"""The list of next hops: one watch at a time, opened when the decisions subscribe or discovery moves."""
 
 from __future__ import annotations
 
 import select
 import socket
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 import h11
@@ -19,17 +20,23 @@
 
 LIST_MOST = 4 * 1024 * 1024  # bytes of one list
 ANSWER_US = 5_000_000  # a call may wait its turn for so long
+MOVE_US = 4_000_000  # a service that is new must be heard within this: it is asked again by itself until then
+AGAIN_US = 200_000  # ... after so long
 SILENCE_US = 3_500_000  # an empty line comes every 2 s: a watch this silent is dead
 NOWHERE = ("", 0)  # an entry that is gone need not tell where it was
 STATES = {s.value: s for s in WorkerState}
 
 
+@dataclass(slots=True, frozen=True)
 class Names:
     """Zones and machine kinds are numbers to the decisions: their places in the settings' lists."""
 
-    def __init__(self, zones: list[Any], kinds: list[Any]) -> None:
-        self.zones = {name: n for n, name in enumerate(zones)}
-        self.kinds = {name: n for n, name in enumerate(kinds)}
+    zones: dict[Any, int]
+    kinds: dict[Any, int]
+
+    @classmethod
+    def of(cls, zones: list[Any], kinds: list[Any]) -> Names:
+        return cls({name: n for n, name in enumerate(zones)}, {name: n for n, name in enumerate(kinds)})
 
     def entries(self, targets: Any) -> list[tuple[WorkerEntry, Address]]:
         """The entries of a list; raises ValueError, KeyError or TypeError on what is none."""
@@ -62,6 +69,10 @@
         self.connect_timeout_us = connect_timeout_us
         self.version = 0
         self._owed = 0  # calls without an answer
+        self._following = False  # the open watch has told its first list
+        self._moves = 0  # how often the service was replaced
+        self._new = False  # the service has told nothing yet: it might read our version as one of its own
+        self._hurry_until_us: int | None = None  # it was replaced just now and has not answered yet
         self._task: Task | None = None
 
     def start(self, known: Any) -> None:
@@ -70,44 +81,66 @@
         self._task = self.loop.spawn(self._run())
 
     def subscribe(self) -> None:
+        if self._following:  # an open watch has told all there is
+            self.put(WorkerList(ListKind.CHANGES, (), self.version))
+            return
         self._owed += 1
+        self._wake()
+
+    def move(self, address: Address) -> None:
+        """Discovery is elsewhere from now on: leave the old service for it at once, asked or not."""
+        if address != self.address:
+            self.address = address
+            self._moves += 1
+            self._new = True
+            self._hurry_until_us = self.loop.now_us() + MOVE_US
+            self._wake()
+
+    def _wake(self) -> None:
         if self._task is not None:
             self.loop.wake(self._task)
 
     def _run(self) -> Coroutine[None]:
         while True:
-            while not self._owed:
+            while not self._owed and self._hurry_until_us is None:
                 yield Wait()
             try:
-                yield from self._watch()
+                yield from self._watch(self._moves)
             except Exception as error:
                 self.log.error("discovery failed", error)
+                if self._hurry_until_us is not None:
+                    if self.loop.now_us() + AGAIN_US < self._hurry_until_us:
+                        yield Wait(until_us=self.loop.now_us() + AGAIN_US)
+                        continue
+                    self._hurry_until_us = None
                 # Each call is answered by one event; the end of an answered watch is told, too.
                 for _ in range(max(1, self._owed)):
                     self.put(WorkerList(ListKind.FAILED))
                 self._owed = 0
 
-    def _watch(self) -> Coroutine[None]:
-        """Follow the list until the watch breaks, or a further call asks for a new one."""
+    def _watch(self, move: int) -> Coroutine[None]:
+        """Follow the list until the watch breaks, or the service is replaced."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         stream = Stream(self.loop, sock, h11.CLIENT)
         try:
             sock.connect_ex(self.address)
             until = self.loop.now_us() + self.connect_timeout_us
             while not (yield Wait(sock.fileno(), select.EPOLLOUT, until)):
+                if move != self._moves:
+                    return
                 if self.loop.now_us() >= until:
                     raise TimeoutError("no connection in time")
-            target = f"/v1/servers?watch=1&after={self.version}"
+            target = "/v1/servers?watch=1" + ("" if self._new else f"&after={self.version}")
             request = h11.Request(method="GET", target=target, headers=[("Host", "discovery")])
             stream.put([request, h11.EndOfMessage()])
             patience = self.loop.now_us() + ANSWER_US
-            lines, answered = Lines(LIST_MOST), False
-            while not (answered and self._owed):
+            lines = Lines(LIST_MOST)
+            while move == self._moves:
                 if not (yield from stream.flush(patience)):
                     event = None
                 else:
                     event = yield from stream.next_event(patience)
-                if event is None:  # woken by a further call, or too late
+                if event is None:  # woken by a further call or a move, or too late
                     if self.loop.now_us() >= patience:
                         raise TimeoutError("silent")
                 elif isinstance(event, h11.Response):
@@ -119,12 +152,13 @@
                             self._tell(orjson.loads(line), ListKind.CHANGES)
                             for _ in range(self._owed - 1):
                                 self.put(WorkerList(ListKind.CHANGES, (), self.version))
-                            answered, self._owed = True, 0
-                    if answered:
+                            self._following, self._owed, self._hurry_until_us = True, 0, None
+                    if self._following:
                         patience = self.loop.now_us() + SILENCE_US
                 elif not isinstance(event, h11.InformationalResponse):
                     raise ConnectionError("the watch ended")
         finally:
+            self._following = False
             stream.close()
 
     def _tell(self, fields: Any, kind: ListKind) -> None:
@@ -132,6 +166,7 @@
             kind = ListKind.COMPLETE
         entries = self.names.entries(fields["targets"])
         self.version = int(fields["rev"])
+        self._new = False
         self.hops.learn(kind is not ListKind.CHANGES, entries)
         self.log.event("list", kind=kind, version=self.version, entries=len(entries))
         self.put(WorkerList(kind, tuple(entry for entry, _ in entries), self.version))
--- a/tests/play.py
+++ b/tests/play.py
@@ -6,6 +6,7 @@
     c opens | a accepts h1 | w accepts discovery      a connection is there under the first name
     c sends, c gets                                   the bytes follow in lines that begin with ``|``
     c closes | c resets | c sees the end | h1 stops | h1 fills
+    config moves to discovery2 | config names KEY JSON | config breaks
     pause 0.5 | signal TERM | node ends 0 | node says TEXT
 
 The lines of a block are joined by CRLF; escapes such as ``\\n`` work, and ``{*}`` stands for any
@@ -56,7 +57,7 @@
 class Player:
     def __init__(self, folder: Path) -> None:
         self.folder = folder
-        self.listeners = {name: listener() for name in ("h1", "h2", "discovery")}
+        self.listeners = {name: listener() for name in ("h1", "h2", "discovery", "discovery2")}
         self.ports = {name: sock.getsockname()[1] for name, sock in self.listeners.items()}
         self.open: dict[str, socket.socket] = {}
         self.settings: dict[str, Any] = json.loads(json.dumps(SETTINGS))
@@ -64,6 +65,7 @@
         self.files = 0  # descriptors that the system gives the node; 0: its usual
         self.hops = ["h1"]
         self.node: subprocess.Popen[bytes] | None = None
+        self.told: dict[str, Any] = {}  # the configuration that it started with
         self.port = 0  # of the node, which takes a free one and says which
 
     # ------------------------------------------------------------ the node
@@ -74,14 +76,15 @@
              "pod_group": 0, "state": "ready", "capacity_hint": 1.0, "boot_ms": 0}
             for name in self.hops
         ]
-        config = self.folder / "config.json"
-        config.write_text(json.dumps({
+        discovery = f"127.0.0.1:{self.ports['discovery']}"
+        self.told = {
             "name": "n0", "listen": "127.0.0.1:0", "seed": "1f", "limits": self.limits,
-            "discovery": f"127.0.0.1:{self.ports['discovery']}", "settings": self.settings,
+            "discovery": discovery, "settings": self.settings,
             "known": {"rev": 41, "all": True, "targets": targets},
-        }))
-        env = {**os.environ, "GW_CONFIG": str(config)}
-        for name in ("GW_NAME", "GW_LISTEN", "GW_DISCOVERY"):
+        }
+        self.configure(json.dumps(self.told))
+        env = {**os.environ, "GW_CONFIG": str(self.folder / "config.json"), "GW_DISCOVERY": discovery}
+        for name in ("GW_NAME", "GW_LISTEN"):
             env.pop(name, None)
         with open(self.folder / "log", "wb") as log:
             self.node = subprocess.Popen(
@@ -95,6 +98,9 @@
             time.sleep(0.01)
         self.port = int(found[1])
 
+    def configure(self, text: str) -> None:
+        (self.folder / "config.json").write_text(text)
+
     def log(self) -> str:
         return (self.folder / "log").read_text()
 
@@ -164,6 +170,12 @@
                     self.open[f"{name} filler {n}"] = sock = socket.socket()
                     sock.setblocking(False)
                     sock.connect_ex(("127.0.0.1", self.ports[name]))
+            case ["config", "moves", "to", name]:
+                self.configure(json.dumps({**self.told, "discovery": f"127.0.0.1:{self.ports[name]}"}))
+            case ["config", "names", name, *value]:
+                self.configure(json.dumps({**self.told, name: json.loads(" ".join(value))}))
+            case ["config", "breaks"]:
+                self.configure("{")
             case ["pause", seconds]:
                 time.sleep(float(seconds))
             case ["signal", name]:
