Leave senders that fail jobs quickly out until three trials in a row succeed

Checked: Dispatcher._on_ended had a branch for UNREACHABLE and BROKEN, none for FAILURE; probes bring 'eps' (0 at healthy senders, 3 to 11 at these, gone within 3 s) and nothing read it (Worker.learn). Ruled out: the restart and the moves of discovery, whose windows lose nothing beyond the node that is away. Now an error, or 0.3 errors a second in a report, leaves a sender out as a broken connection does; three successes in a row bring it back, tried by jobs that may be repeated; a relapse waits as long as before. New tests: two in test_trouble.

--- a/tansygw/decide.py
+++ b/tansygw/decide.py
@@ -68,6 +68,8 @@
 PART_EVERY = 8  # arrivals between looks at our part of the fleet's work
 TRIAL_GROWTH = 2.0  # each failed trial of an ill worker makes the next wait so much longer
 TRIAL_MOST = 32.0  # ... up to this multiple of the first wait
+PROOFS = 3  # after an error so many jobs must succeed in a row, one at a time: most errors are only frequent
+ERRORS_SICK = 0.3  # errors a second that a worker reports; healthy ones have one in minutes
 COLD_BUDGET = 0.4  # of what a cold worker can stand in a window, this share is sent: jobs differ in size
 COLD_POWER = 2.0  # a cold worker's weight is its present capacity share to this power: chance needs slack
 CROSS_WEIGHT = 25.0  # by so many times the price of crossing zones a worker elsewhere counts for less
@@ -175,9 +177,9 @@
     """What this dispatcher knows of one worker."""
 
     __slots__ = ("asked", "blocked", "cell", "cold_credit", "cold_from", "cold_paid", "delta", "down",
-                 "faults", "figures", "free", "heard", "kind", "live", "memory", "moves", "name", "out",
-                 "pace", "ready", "retry_at", "seats", "seen", "started_us", "total", "trial",
-                 "waiting", "zone")
+                 "errors", "faults", "figures", "free", "heard", "kind", "live", "memory", "moves", "name",
+                 "out", "pace", "past", "proofs", "ready", "retry_at", "seats", "seen", "started_us",
+                 "total", "trial", "waiting", "well_at", "zone")
 
     def __init__(self, name: str) -> None:
         self.name = name
@@ -206,12 +208,17 @@
         # health
         self.pace = Pace(PACE_KEEP)
         self.faults = 0
+        self.past = 0  # faults before it was trusted again
+        self.well_at = 0  # when that was
+        self.proofs = 0  # successes that are still wanted before it is trusted again
+        self.errors = 0.0  # a second, by its newest report
         self.retry_at = 0
         self.down = False  # no connection: it may come back cold
         self.trial: Attempt | None = None
 
     def learn(self, report: Report, now: int, spacing: float) -> bool:
         """Take the figures of a report; True where they are new."""
+        self.errors = _number(report.get("eps")) or 0.0
         if report == self.figures:
             self.heard = now
             return False
@@ -251,7 +258,8 @@
         self.figures = None
         self.heard = self.seen = None
         self.memory = None
-        self.faults = 0
+        self.faults = self.past = 0
+        self.errors = 0.0
         self.down = False
         self.trial = None
 
@@ -291,6 +299,7 @@
         self.spacing = float(max(settings.tick_us, min(aims)))  # of distinct reports of a worker
         self.busy_us = float(sum(aims)) / len(aims)  # how long own jobs take
         self.class_us = [float(c.aim_us) for c in settings.classes]  # the same by class
+        self.repeats = any(c.effect is not Effect.FRAGILE for c in settings.classes)
         self.bound = [n for n, c in enumerate(settings.classes) if c.kind >= 0]  # classes bound to one kind
         self.class_log: list[float | None] = [None] * len(aims)  # logarithm of the run times by class
         self.kind_pace: dict[int, Pace] = {}
@@ -455,36 +464,48 @@
             self.changed = True
             if worker.down:
                 self._well(worker)
+            if worker.errors >= ERRORS_SICK:
+                self._fault(worker, proofs=PROOFS)
         elif event.outcome is Outcome.UNREACHABLE:
             self._fault(worker, down=True)
         self._at(self.now + max(self.settings.tick_us, 1.0 / self._check_rate()), self._check, worker)
 
     # ------------------------------------------------------------ health
 
-    def _fault(self, worker: Worker, down: bool) -> None:
-        """It could not be reached, or broke off its work: leave it until a trial, later each time."""
+    def _fault(self, worker: Worker, down: bool = False, proofs: int = 1) -> None:
+        """It could not be reached, failed or broke off its work: leave it until a trial, later each time."""
+        worker.down = worker.down or down
+        worker.proofs = max(worker.proofs, proofs)
         if worker.trial is None and self.now < worker.retry_at:
-            worker.down = worker.down or down
             return
+        if not worker.faults and self.now - worker.well_at < TRIAL_MOST * self.busy_us:
+            worker.faults = worker.past  # a relapse
         worker.faults += 1
-        worker.down = worker.down or down
         worker.trial = None
         wait = self.busy_us * min(TRIAL_MOST, TRIAL_GROWTH ** (worker.faults - 1))
         worker.retry_at = self.now + int(wait * (0.75 + self.random.random() / 2))
         if worker.faults == 1:
-            self._log(f"{worker.name} left out: {'no connection' if down else 'work broken off'}")
+            why = "no connection" if down else "errors" if proofs > 1 else "work broken off"
+            self._log(f"{worker.name} left out: {why}")
 
     def _well(self, worker: Worker) -> None:
         """It served or started work: trust it again; after a lost connection it may be a cold process."""
         if worker.faults:
             self._log(f"{worker.name} answers again")
+            worker.past, worker.well_at = worker.faults, self.now
         if worker.down:
             worker.cold_from = self.now
             worker.cold_paid = None
-        worker.faults = 0
+        worker.faults = worker.proofs = 0
         worker.down = False
         worker.trial = None
 
+    def _proved(self, worker: Worker) -> None:
+        """A job succeeded there."""
+        worker.proofs -= 1
+        if worker.faults and worker.proofs <= 0:
+            self._well(worker)
+
     def _stuck(self, worker: Worker) -> bool:
         """No start note though it claims room: its queue is longer than its figure says, or it hangs."""
         if not worker.waiting:
@@ -556,6 +577,8 @@
             return False
         if worker.faults and (worker.trial is not None or self.now < worker.retry_at):
             return False
+        if worker.faults and worker.proofs > 1 and self.repeats and request.info.effect is Effect.FRAGILE:
+            return False  # where errors are likely, only what may be tried elsewhere afterwards
         return worker.cold_from is None or self._cold_room(worker)
 
     def _cold_room(self, worker: Worker) -> bool:
@@ -888,12 +911,13 @@
             self.busy_us += SPACING_STEP * (took - self.busy_us)
             self.class_us[request.cls] += SPACING_STEP * (took - self.class_us[request.cls])
             self._pace(attempt, took)
-            if worker.faults:
-                self._well(worker)
+            self._proved(worker)
         elif outcome is Outcome.UNREACHABLE:
             self._fault(worker, down=True)
         elif outcome is Outcome.BROKEN:
-            self._fault(worker, down=False)
+            self._fault(worker)
+        elif outcome is Outcome.FAILURE:
+            self._fault(worker, proofs=PROOFS)
         elif outcome is Outcome.OVERLOADED:
             worker.free = min(worker.free, 0.0)  # a blocked call, not ill health: it is full now
             worker.heard = worker.seen = now
--- a/tests/test_trouble.py
+++ b/tests/test_trouble.py
@@ -315,3 +315,37 @@
     assert not sends(d.ended(request, 0, refuser, Outcome.OVERLOADED))  # an own job waits at the other
     assert not sends(d.step(TimerFired(), after=50 * MS))
     assert [s.worker for s in sends(d.step(TimerFired(), after=300 * MS))] == [refuser]
+
+
+def test_a_worker_that_fails_jobs_quickly_does_not_draw_them_all_to_its_empty_room() -> None:
+    d = Drive(settings(request_class(Effect.DEDUP, window_us=8 * SECOND)), workers=2)
+    d.tell(w0={"free_slots": 4.0}, w1={"free_slots": 4.0})
+    request, sent = d.request()
+    sick = sent[0].worker
+    again = sends(d.ended(request, 0, sick, Outcome.FAILURE, after=5 * MS), request)[0]
+    assert again.worker != sick
+    d.ended(request, 1, again.worker)
+    assert d.serve(8, gap=MS)[sick] == 0
+    # Then one job at a time, and only three successes in a row bring it back: most errors are frequent ones.
+    d.now += 2 * SECOND
+    for proof in range(4):
+        for _ in range(50):
+            request, sent = d.request(after=MS)
+            if sent[0].worker == sick:
+                break
+            d.ended(request, 0, sent[0].worker)
+        assert sent[0].worker == sick
+        assert (d.serve(12, gap=MS)[sick] == 0) == (proof < 3)
+        d.ended(request, 0, sick)
+
+
+def test_errors_that_a_worker_reports_leave_it_out_before_own_jobs_fail_there() -> None:
+    limits = Limits(cancel=True, second_copies=True, checks=True, max_attempts=4)
+    d = Drive(settings(limits=limits, report_source=ReportSource.CHECKS,
+                       report_fields=("free_slots", "eps")), workers=2)
+    d.now += 20 * MS
+    checks = [a.worker for a in d.step(TimerFired()) if isinstance(a, Check)]
+    assert set(checks) == {"w0", "w1"}
+    d.step(CheckResult("w0", Outcome.SUCCESS, report={"free_slots": 4.0, "eps": 7.5}),
+           CheckResult("w1", Outcome.SUCCESS, report={"free_slots": 4.0, "eps": 0.01}))
+    assert d.serve(8, gap=MS) == {"w0": 0, "w1": 8}
