Let a job that must not run twice try a failing sender after twice the wait

Seen: with only such jobs and one sender, the change before never tried the sender again after an error (recording may_have_run timed out). Now such a job may be the trial once twice the wait is over.

--- a/tansygw/decide.py
+++ b/tansygw/decide.py
@@ -178,8 +178,8 @@
 
     __slots__ = ("asked", "blocked", "cell", "cold_credit", "cold_from", "cold_paid", "delta", "down",
                  "errors", "faults", "figures", "free", "heard", "kind", "live", "memory", "moves", "name",
-                 "out", "pace", "past", "proofs", "ready", "retry_at", "seats", "seen", "started_us",
-                 "total", "trial", "waiting", "well_at", "zone")
+                 "out", "pace", "past", "proofs", "ready", "retry_at", "risk_at", "seats", "seen",
+                 "started_us", "total", "trial", "waiting", "well_at", "zone")
 
     def __init__(self, name: str) -> None:
         self.name = name
@@ -212,7 +212,8 @@
         self.well_at = 0  # when that was
         self.proofs = 0  # successes that are still wanted before it is trusted again
         self.errors = 0.0  # a second, by its newest report
-        self.retry_at = 0
+        self.retry_at = 0  # left out until then
+        self.risk_at = 0  # ... by jobs that must not run twice
         self.down = False  # no connection: it may come back cold
         self.trial: Attempt | None = None
 
@@ -258,7 +259,7 @@
         self.figures = None
         self.heard = self.seen = None
         self.memory = None
-        self.faults = self.past = 0
+        self.faults = self.past = self.proofs = 0
         self.errors = 0.0
         self.down = False
         self.trial = None
@@ -299,7 +300,6 @@
         self.spacing = float(max(settings.tick_us, min(aims)))  # of distinct reports of a worker
         self.busy_us = float(sum(aims)) / len(aims)  # how long own jobs take
         self.class_us = [float(c.aim_us) for c in settings.classes]  # the same by class
-        self.repeats = any(c.effect is not Effect.FRAGILE for c in settings.classes)
         self.bound = [n for n, c in enumerate(settings.classes) if c.kind >= 0]  # classes bound to one kind
         self.class_log: list[float | None] = [None] * len(aims)  # logarithm of the run times by class
         self.kind_pace: dict[int, Pace] = {}
@@ -483,7 +483,8 @@
         worker.faults += 1
         worker.trial = None
         wait = self.busy_us * min(TRIAL_MOST, TRIAL_GROWTH ** (worker.faults - 1))
-        worker.retry_at = self.now + int(wait * (0.75 + self.random.random() / 2))
+        wait *= 0.75 + self.random.random() / 2
+        worker.retry_at, worker.risk_at = self.now + int(wait), self.now + int(2 * wait)
         if worker.faults == 1:
             why = "no connection" if down else "errors" if proofs > 1 else "work broken off"
             self._log(f"{worker.name} left out: {why}")
@@ -577,8 +578,8 @@
             return False
         if worker.faults and (worker.trial is not None or self.now < worker.retry_at):
             return False
-        if worker.faults and worker.proofs > 1 and self.repeats and request.info.effect is Effect.FRAGILE:
-            return False  # where errors are likely, only what may be tried elsewhere afterwards
+        if worker.proofs > 1 and request.info.effect is Effect.FRAGILE and self.now < worker.risk_at:
+            return False  # where errors are likely, first what may be tried elsewhere afterwards
         return worker.cold_from is None or self._cold_room(worker)
 
     def _cold_room(self, worker: Worker) -> bool:
