Let a request that a sender finds unfit blame no sender and be tried nowhere else

Now 4xx (but 408, 425, 429) is the outcome REJECTED: the module fails the request and marks nobody, and the caller gets 400.

--- a/rushsaddle/decider.py
+++ b/rushsaddle/decider.py
@@ -143,7 +143,10 @@
         elif isinstance(action, Fail):
             transaction = self.transactions.get(action.request)
             late = transaction is not None and now >= transaction.deadline_us - 2 * self.tick_us
-            self._finish(action.request, Answer(Verdict.FAILED, late=late))
+            unfit = transaction is not None and any(
+                b.outcome is Outcome.REJECTED for b in transaction.branches
+            )
+            self._finish(action.request, Answer(Verdict.FAILED, late=late, unfit=unfit))
         elif isinstance(action, Cancel):
             transaction = self.transactions.get(action.request)
             if transaction is not None and 0 <= action.attempt < len(transaction.branches):
--- a/rushsaddle/net/caller.py
+++ b/rushsaddle/net/caller.py
@@ -341,4 +341,4 @@
         if answer.retry_after_us:
             return 503, [(b"Retry-After", b"%.3f" % (answer.retry_after_us / 1e6))]
         return 503, []
-    return (504 if answer.late else 502), []
+    return (400 if answer.unfit else 504 if answer.late else 502), []
--- a/rushsaddle/net/nexthop.py
+++ b/rushsaddle/net/nexthop.py
@@ -27,6 +27,7 @@
 LINE_MOST = 8 * BODY_MOST  # a result in JSON may take six bytes for one
 FINISH_US = 500_000  # after the last object the rest of the answer must come this soon to keep the connection
 SWEEP_US = 1_000_000
+PASSING = (408, 425, 429)  # of the statuses that blame the request, those that may change by themselves
 
 Address = tuple[str, int]
 
@@ -282,7 +283,14 @@
         if head.status_code != 200:
             unseen = head.status_code in (503, 504) and headers.get(b"x-not-processed") == b"1"
             report = self._report(headers.get(b"x-server-load"))
-            branch.end(self.loop.now_us(), Outcome.OVERLOADED if unseen else Outcome.FAILURE, report)
+            outcome = Outcome.OVERLOADED if unseen else Outcome.FAILURE
+            if 400 <= head.status_code < 500 and head.status_code not in PASSING:
+                outcome = Outcome.REJECTED
+            if not unseen:
+                self.log.event(
+                    "branch refused", id=payload.id, next_hop=branch.worker, status=head.status_code
+                )
+            branch.end(self.loop.now_us(), outcome, report)
             return (yield from self._finished(connection))
         lines = Lines(LINE_MOST)
         while branch.outcome is None:
--- a/rushsaddle/transaction.py
+++ b/rushsaddle/transaction.py
@@ -25,6 +25,7 @@
     result: bytes = b""
     retry_after_us: int = 0
     late: bool = False  # FAILED: the time was up
+    unfit: bool = False  # FAILED: a next hop found the request itself at fault
 
 
 @dataclass(slots=True, frozen=True)
--- a/tansygw/decide.py
+++ b/tansygw/decide.py
@@ -77,7 +77,7 @@
 PACE_KEEP = 0.9  # a worker's pace is that of about its last ten jobs: slowness comes and goes
 
 SECOND = 1_000_000  # microseconds
-NEVER_RAN = frozenset((Outcome.OVERLOADED, Outcome.UNREACHABLE, Outcome.VOID))
+NEVER_RAN = frozenset((Outcome.OVERLOADED, Outcome.UNREACHABLE, Outcome.VOID, Outcome.REJECTED))
 
 
 def _number(value: Any) -> float | None:
@@ -934,7 +934,8 @@
             elif not request.out:
                 self.requests.pop(request.id, None)
             return
-        if now >= request.deadline - self.settings.tick_us:
+        unfit = outcome is Outcome.REJECTED and request.out == 0
+        if unfit or now >= request.deadline - self.settings.tick_us:
             self._deadline(request)
         elif request.out == 0:
             self._again(request, attempt)
--- a/tansygw/interface.py
+++ b/tansygw/interface.py
@@ -31,7 +31,7 @@
 
 
 class Outcome(StrEnum):
-    """How an attempt ended.  OVERLOADED, UNREACHABLE and VOID prove that it never ran."""
+    """How an attempt ended.  OVERLOADED, UNREACHABLE, VOID and REJECTED prove that it never ran."""
 
     SUCCESS = "success"
     FAILURE = "failure"  # the worker returned an error; it may have run
@@ -41,6 +41,7 @@
     BROKEN = "broken"  # the connection broke; it may have run
     WITHDRAWN = "withdrawn"  # cancelled by the dispatcher; it may have run
     VOID = "void"  # never sent
+    REJECTED = "rejected"  # the worker finds the request itself at fault, as any other would
 
 
 class WorkerState(StrEnum):
