Bound the first request by time from connecting; let silent legs give way first

Read from the code: a leg that never spoke stayed 75 s and a head without end 10 s, where bad clients are owed an error or a close within 3 s; eviction took the leg idle longest, one each 20 ms, so a crowd of silent ones pushed kept legs of usual callers out; a pipelined flood was served in one turn (_leg loops while h11 holds bytes); the acceptor took a whole backlog in one turn; linger had no bound against a flood. Now 2 s from connecting (or from the start of a later request); where there is no room, all legs go that had 0.2 s and sent nothing sound, and kept ones only where those are few; one request a turn and leg, 16 connections a turn, 50 ms of pause after an error; lingering ends after 0.5 s, 4 MiB or a wake.

--- a/rushsaddle/net/caller.py
+++ b/rushsaddle/net/caller.py
@@ -10,6 +10,7 @@
 import socket
 from collections.abc import Mapping
 from http import HTTPStatus
+from itertools import islice
 from typing import Any
 
 import h11
@@ -21,8 +22,12 @@
 from .http import BODY_MOST, NO_DESCRIPTOR, Header, Request, Stream, end_to_end, odd_framing
 from .nexthop import Address, NextHops
 
-IDLE_US = 75_000_000  # a leg may stand idle for so long
-READ_US = 10_000_000  # a request must come whole within this time of its first byte
+IDLE_US = 75_000_000  # a leg may stand idle for so long between requests
+READ_US = 2_000_000  # the first request must come whole within this of connecting, a later one of its start
+SHY_US = 200_000  # where there is no room, a leg must have sent its first request within this
+EVICT_MOST = 4  # idle legs of usual callers that make room at a time
+ACCEPT_MOST = 16  # connections taken in one turn: a crowd must not hold up the others
+ERROR_PAUSE_US = 50_000  # after a bad request its leg waits so long for the next
 WRITE_US = 10_000_000  # an answer must be taken within this time
 FULL_US = 20_000  # pause of accepting when there is no socket to be had
 DRAIN_ACCEPT_US = 500_000  # after SIGTERM new connections go on coming for a moment
@@ -55,11 +60,14 @@
 
 
 class Leg:
-    __slots__ = ("idle", "stream", "task")
+    __slots__ = ("evicted", "idle", "opened_us", "proven", "stream", "task")
 
-    def __init__(self, stream: Stream) -> None:
+    def __init__(self, stream: Stream, now: int) -> None:
         self.stream = stream
-        self.idle = False  # between requests
+        self.opened_us = now
+        self.proven = False  # a request of it was sound
+        self.idle = False  # waits for the first byte of a request
+        self.evicted = False  # is to make room
         self.task: Task | None = None
 
 
@@ -79,7 +87,6 @@
         self.draining = False  # no more requests than those that are on the way
         self._listener: socket.socket | None = None
         self._acceptor: Task | None = None
-        self._evicting: Leg | None = None
 
     # ------------------------------------------------------------ accepting
 
@@ -95,19 +102,16 @@
 
     def _accept(self, listener: socket.socket) -> Coroutine[None]:
         while not self.draining:
-            if len(self.legs) >= self.budget:
-                self._evict()
-                yield Wait(until_us=self.loop.now_us() + FULL_US)
-                continue
             yield Wait(listener.fileno(), select.EPOLLIN)
-            if not self._accept_all(listener):
+            if len(self.legs) >= self.budget or not self._accept_some(listener, ACCEPT_MOST):
                 self._evict()
-                self.hops.evict()
+                if len(self.legs) < self.budget:  # the system itself has no descriptor left
+                    self.hops.evict()
                 yield Wait(until_us=self.loop.now_us() + FULL_US)
 
-    def _accept_all(self, listener: socket.socket) -> bool:
-        """Empty the backlog as far as the budget goes; False where there is no socket to be had."""
-        while len(self.legs) < self.budget:
+    def _accept_some(self, listener: socket.socket, most: int) -> bool:
+        """Take so many from the backlog, as the budget goes; False where there is no socket to be had."""
+        for _ in range(min(most, self.budget - len(self.legs))):
             try:
                 sock, _ = listener.accept()
             except BlockingIOError:
@@ -118,18 +122,23 @@
                 continue  # that connection ended in the backlog
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            leg = Leg(Stream(self.loop, sock, h11.SERVER))
+            leg = Leg(Stream(self.loop, sock, h11.SERVER), self.loop.now_us())
             self.legs[leg] = None
             leg.task = self.loop.spawn(self._leg(leg))
         return True
 
     def _evict(self) -> None:
-        """Close the leg that has been idle longest; the order of ``legs`` is that of their last use."""
-        for leg in self.legs:
-            if leg.idle and leg.task is not None:
-                self._evicting = leg
-                self.loop.wake(leg.task)
-                return
+        """Make room: all legs that had time for a sound request and sent none, and where those are few, the
+        ones that have been idle longest; the order of ``legs`` is that of their last use.
+        """
+        before = self.loop.now_us() - SHY_US
+        unproven = [leg for leg in self.legs if not leg.proven]
+        chosen = [leg for leg in unproven if leg.opened_us <= before]
+        if len(unproven) <= self.budget // 4:
+            chosen += islice((leg for leg in self.legs if leg.proven and leg.idle), EVICT_MOST)
+        for leg in chosen:
+            leg.evicted = True
+            self._wake(leg)
 
     def drain(self) -> Coroutine[None]:
         """Take what is on the way, then let the legs end one by one."""
@@ -138,13 +147,13 @@
             yield Wait(until_us=until)
         listener = self._listener
         if listener is not None:
-            self._accept_all(listener)
+            self._accept_some(listener, self.budget)
             self.draining = True
             self.loop.forget(listener.fileno())
             listener.close()
         for leg in self.legs:
-            if leg.idle and leg.task is not None:
-                self.loop.wake(leg.task)
+            if leg.idle:
+                self._wake(leg)
 
     # ------------------------------------------------------------ one leg
 
@@ -152,6 +161,8 @@
         try:
             while (yield from self._request(leg)):
                 self.legs[leg] = self.legs.pop(leg)
+                if leg.stream.h11.trailing_data[0]:  # more has come already: the others' turn first
+                    yield Wait(until_us=self.loop.now_us())
         except OSError:
             pass  # the caller is gone
         finally:
@@ -165,7 +176,7 @@
         stream = leg.stream
         if not stream.h11.trailing_data[0] and not (yield from self._idle(leg)):
             return False
-        until = self.loop.now_us() + READ_US
+        until = (self.loop.now_us() if leg.proven else leg.opened_us) + READ_US
         try:
             head, raw = yield from stream.head(until)
             if isinstance(head, h11.ConnectionClosed):
@@ -176,27 +187,32 @@
                 raise BadRequest(400, why)
             return (yield from self._serve(leg, head, until))
         except BadRequest as bad:
-            body = f"{bad}\n".encode()
-            return (yield from self._reply(leg, bad.status, body, close=bad.unread))
+            status, text, close = bad.status, f"{bad}\n", bad.unread
         except h11.RemoteProtocolError as error:
             if stream.ended:
                 return False  # the caller left in the middle of a request
-            return (yield from self._reply(leg, error.error_status_hint, f"{error}\n".encode(), close=True))
+            status, text, close = error.error_status_hint, f"{error}\n", True
+        if not (yield from self._reply(leg, status, text.encode(), close=close)):
+            return False
+        yield Wait(until_us=self.loop.now_us() + ERROR_PAUSE_US)
+        return leg.proven or self.loop.now_us() < until
 
     def _idle(self, leg: Leg) -> Coroutine[bool]:
         """Wait for the first byte of a request; False where the leg is to end without one."""
-        until = self.loop.now_us() + (DRAIN_IDLE_US if self.draining else IDLE_US)
+        until = leg.opened_us + READ_US
+        if self.draining:
+            until = self.loop.now_us() + DRAIN_IDLE_US
+        elif leg.proven:
+            until = self.loop.now_us() + IDLE_US
         leg.idle = True
         try:
             while not (yield Wait(leg.stream.sock.fileno(), select.EPOLLIN, until)):
-                late = self.draining or self._evicting is leg or self.loop.now_us() >= until
+                late = self.draining or leg.evicted or self.loop.now_us() >= until
                 if late and not leg.stream.readable():
                     return False
             return True
         finally:
-            leg.idle = False
-            if self._evicting is leg:
-                self._evicting = None
+            leg.idle = leg.evicted = False
 
     def _serve(self, leg: Leg, head: Any, until_us: int) -> Coroutine[bool]:
         stream = leg.stream
@@ -210,6 +226,7 @@
         if path == b"/healthz":
             if head.method not in (b"GET", b"HEAD"):
                 raise BadRequest(405, "GET only", unread)
+            leg.proven = not unread
             return (yield from self._reply(leg, 503 if self.draining else 200, b"", close=unread))
         cls = self.classes.get(path[1:].partition(b"/")[0].decode("latin-1"))
         if cls is None:
@@ -227,6 +244,7 @@
         if name in self.decider.names:
             raise BadRequest(409, "X-Request-ID: the id of an open request", unread=False)
         payload = Request(name, head.method, head.target, end_to_end(head.headers.raw_items()), body)
+        leg.proven = True
         transaction = self.decider.submit(
             name, job, payload, received, received + wait_us, lambda: self._wake(leg)
         )
@@ -240,8 +258,8 @@
         return (yield from self._reply(leg, status, transaction.answer.result, more))
 
     def _wake(self, leg: Leg) -> None:
-        assert leg.task is not None
-        self.loop.wake(leg.task)
+        if leg.task is not None:
+            self.loop.wake(leg.task)
 
     def _body(self, stream: Stream, until_us: int) -> Coroutine[bytes]:
         if stream.h11.they_are_waiting_for_100_continue:
--- a/rushsaddle/net/http.py
+++ b/rushsaddle/net/http.py
@@ -17,7 +17,9 @@
 
 BODY_MOST = 64 * 1024  # of a request
 RING_MOST = 128 * 1024  # a request with its head fits in whole
-LINGER_US = 1_000_000  # how long a peer may go on sending what nobody reads
+LINGER_US = 500_000  # how long a peer may go on sending what nobody reads
+LINGER_MOST = 4 * 1024 * 1024  # ... and how much
+SINK = bytearray(RING_MOST)
 NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 Header = tuple[bytes, bytes]
@@ -126,11 +128,15 @@
         return True
 
     def linger(self) -> Coroutine[None]:
-        """End the sending and read the rest: closing at once would reset the answer away."""
-        until = self.loop.now_us() + LINGER_US
+        """End the sending and read the rest: closing at once would reset the answer away.  Some go on
+        sending without end, so time and bytes are bounded, and a wake ends it.
+        """
+        until, left = self.loop.now_us() + LINGER_US, LINGER_MOST
         self.sock.shutdown(socket.SHUT_WR)
         while (yield Wait(self.sock.fileno(), select.EPOLLIN, until)):
-            if not self.sock.recv(RING_MOST):
+            count = self.sock.recv_into(SINK)
+            left -= count
+            if not count or left < 0 or self.loop.now_us() >= until:
                 return
 
 
