Draw by what own jobs take for certain, ask for half a free slot, check twice as often

At fault: _draw faded a figure with our own jobs in it to the mean, so a sender that holds three of ours looked like one with none; and it drew senders whose noisy figure says less than one free slot. The draw stays in proportion to 1 - u_j; only the estimate of u_j changed.

--- a/tansygw/decide.py
+++ b/tansygw/decide.py
@@ -62,6 +62,7 @@
 COPY_SHARE = 0.15  # second copies and retries by this share of first tries: overload must not feed itself
 COPY_BURST = 5.0  # ... with so many saved up
 CHECK_COST = 0.004  # points of the result that checks may cost
+CHECK_RATE = 2.0  # top rate of checks by the spacing of new figures: a figure is seen soon after it is made
 CHECK_FLOOR = 0.3  # an empty worker is still checked at this share of the top rate
 PART_LEAST = 0.25  # our part is taken to be at least this share of an equal one: few own jobs tell little
 PASS_SIZE = 16  # held requests looked through for each tick of waiting
@@ -72,7 +73,7 @@
 ERRORS_SICK = 0.3  # errors a second that a worker reports; healthy ones have one in minutes
 COLD_BUDGET = 0.4  # of what a cold worker can stand in a window, this share is sent: jobs differ in size
 COLD_POWER = 2.0  # a cold worker's weight is its present capacity share to this power: chance needs slack
-CROSS_WEIGHT = 25.0  # by so many times the price of crossing zones a worker elsewhere counts for less
+CROSS_WEIGHT = 32.0  # by so many times the price of crossing zones a worker elsewhere counts for less
 PACE_PRIOR = 5.0  # run times spread widely: so many of them weigh as much as what was believed before
 PACE_KEEP = 0.9  # a worker's pace is that of about its last ten jobs: slowness comes and goes
 
@@ -433,7 +434,7 @@
 
     def _check_rate(self) -> float:
         """alpha: the top rate of checks of one worker, in checks a microsecond."""
-        alpha = 1.0 / self.spacing
+        alpha = CHECK_RATE / self.spacing
         price = self.settings.prices.check
         if price > 0 and self.ready:
             alpha = min(alpha, CHECK_COST / price / self.gap_us / len(self.ready))
@@ -640,7 +641,7 @@
             if w.zone == settings.zone:
                 near += max(0.0, room)
                 at_home += 1
-            level += room / len(heard)
+            level += max(0.0, 1.0 - room - w.out / w.total) / len(heard)
             mean += max(0.0, room) / len(heard)
             size += w.total / len(heard)
         slots, memory = request.slots, request.memory
@@ -660,13 +661,14 @@
                 if w.heard is not None and w.total > 0:
                     own = w.free - w.delta  # an old figure fades into the mean
                     fresh = exp(((w.seen or now) - now) / (fills if own > 0.0 else lasts))
-                    room = fresh * own / total + (1.0 - fresh) * level
+                    others = max(0.0, 1.0 - (own + w.out) / total)
+                    room = 1.0 - w.out / total - fresh * others - (1.0 - fresh) * level
                     if w.free < 1.0 and not self.queue_told:
                         waits = self._own_waiting(w)
                         if waits > 0.0:  # they take what is given back; others' jobs wait unseen
                             room = min(room, -waits / self.part / total)
                 room = min(room, 1.0 - w.out / total)
-                fits = slots <= 1.0 or room * total > slots - 0.5
+                fits = room * total > slots - 0.5
                 if memory and w.memory is not None and memory > w.memory:
                     fits = False
                 if w.kind in wanted:
--- a/tests/test_trouble.py
+++ b/tests/test_trouble.py
@@ -349,3 +349,26 @@
     d.step(CheckResult("w0", Outcome.SUCCESS, report={"free_slots": 4.0, "eps": 7.5}),
            CheckResult("w1", Outcome.SUCCESS, report={"free_slots": 4.0, "eps": 0.01}))
     assert d.serve(8, gap=MS) == {"w0": 0, "w1": 8}
+
+
+def test_own_jobs_still_count_where_figures_have_grown_old() -> None:
+    d = Drive(settings(request_class(Effect.FRAGILE), tells_start=False), workers=2)
+    d.now += MS
+    d.tell(w0={"free_slots": 4.0}, w1={"free_slots": 4.0})
+    out = 0
+    while out < 3:  # three jobs stay at w0
+        request, sent = d.request(after=MS)
+        if sent[0].worker == "w0":
+            out += 1
+        else:
+            d.ended(request, 0, "w1")
+    d.now += 3 * SECOND  # nothing is left of what the figures told: four slots are free against one
+    counts = d.serve(200, gap=MS)
+    assert counts["w1"] > 3 * counts["w0"]
+
+
+def test_less_than_half_a_free_slot_draws_no_job_while_another_has_room() -> None:
+    d = Drive(settings(), workers=2)
+    d.tell(w0={"free_slots": 4.0}, w1={"free_slots": 4.0})
+    d.tell(w0={"free_slots": 0.4}, w1={"free_slots": 3.0})
+    assert d.serve(20, gap=0)["w0"] == 0
