Learn how long kept connections live; one broken connection makes no sender ill or cold

The settings say 60 s, and a closed connection would have been readable, so _take could not know. Ruled out: stale ones only at certain senders (all show it); a fault of _release (30% of reuses, not all). NextHops reused whatever had been idle for less than 30 s, and the rest of a hop's kept ones after one of them was reset. Now the others are given up, and resets at two hops within 5 s lower the time for all (half of the shortest seen, 50 ms at least); twice as long is tried each 10 s. Dispatcher._fault left a sender out at the first reset of a new connection and held it for cold, for 23 s, once it answered; with 55 such resets nearly all were. Now two jobs in a row must fail, and only a loss that lasted a job's time makes a sender cold; only errors count as relapses.

--- a/rushsaddle/net/nexthop.py
+++ b/rushsaddle/net/nexthop.py
@@ -27,6 +27,9 @@
 LINE_MOST = 8 * BODY_MOST  # a result in JSON may take six bytes for one
 FINISH_US = 500_000  # after the last object the rest of the answer must come this soon to keep the connection
 SWEEP_US = 1_000_000
+KEEP_LEAST_US = 50_000  # connections idle for less are used again whatever happens
+KEEP_WINDOW_US = 5_000_000  # resets at two next hops within this show the same cause
+KEEP_TRY_US = 10_000_000  # so long after the limit was lowered, or tried, twice of it is tried
 PASSING = (408, 425, 429)  # of the statuses that blame the request, those that may change by themselves
 
 Address = tuple[str, int]
@@ -71,16 +74,50 @@
         self.idle: list[Connection] = []  # the longest idle first
 
 
+class Keep:
+    """How long an idle connection may be used again.
+
+    Something on the way may drop idle connections far sooner than the settings say: the next request is
+    then reset, and whether it ran nobody knows.  A new connection costs milliseconds, such a request all
+    of its worth.  One next hop whose connections break may have died; two of them show the way.
+    """
+
+    def __init__(self, most_us: int) -> None:
+        self.most_us = self.limit_us = most_us
+        self._broken: tuple[str, int, int] | None = None  # the newest: where, when, idle for how long
+        self._changed_us = 0
+
+    def broke(self, uid: str, idle_us: int, now: int) -> bool:
+        """A kept connection was reset before it answered; True where that has lowered the limit."""
+        before, self._broken = self._broken, (uid, now, idle_us)
+        if before is None or before[0] == uid or now - before[1] > KEEP_WINDOW_US:
+            return False
+        limit = max(KEEP_LEAST_US, min(idle_us, before[2]) // 2)
+        self._changed_us = now
+        lower = limit < self.limit_us
+        self.limit_us = min(limit, self.limit_us)
+        return lower
+
+    def limit(self, now: int) -> int:
+        """Now and then a longer time is tried."""
+        if self.limit_us < self.most_us and now - self._changed_us > KEEP_TRY_US:
+            self._changed_us = now
+            self.limit_us = min(self.most_us, 2 * self.limit_us)
+        return self.limit_us
+
+
 class Connection:
     """A connection to a next hop."""
 
-    __slots__ = ("address", "connected", "idle_since_us", "stream", "written")
+    __slots__ = ("address", "answered", "connected", "idle_since_us", "idle_us", "stream", "written")
 
     def __init__(self, stream: Stream, address: Address) -> None:
         self.stream = stream
         self.address = address
         self.connected = False
         self.idle_since_us = 0
+        self.idle_us: int | None = None  # idle for so long before the present request; None: it is new
+        self.answered = False  # the present request has the head of its answer
         self.written = False  # the last byte of the present request is handed to the system
 
 
@@ -95,7 +132,7 @@
         self.budget = budget  # connections at once
         self.connect_timeout_us = connect_timeout_us
         self.probe_timeout_us = 2 * connect_timeout_us
-        self.idle_us = idle_us
+        self.keep = Keep(idle_us)
         self.report_names = report_names
         self.hops: dict[str, Hop] = {}
         self.open = 0
@@ -126,7 +163,7 @@
         """Close what has been idle too long or was closed, or written to, by the other side."""
         while True:
             yield Wait(until_us=self.loop.now_us() + SWEEP_US)
-            before = self.loop.now_us() - self.idle_us
+            before = self.loop.now_us() - self.keep.limit(self.loop.now_us())
             for hop in list(self.hops.values()):
                 if not hop.listed:
                     del self.hops[hop.uid]
@@ -141,12 +178,15 @@
 
     def _take(self, hop: Hop) -> Connection | None:
         """An idle connection of the hop, else a new one; None where there is no socket to be had."""
+        now = self.loop.now_us()
+        limit = self.keep.limit(now)
         while hop.idle:
             connection = hop.idle.pop()
+            connection.idle_us = now - connection.idle_since_us
             # A request on a connection that was closed meanwhile would be lost, with no proof that
             # it never ran; such a connection is readable.
-            if not connection.stream.readable():
-                connection.written = False
+            if connection.idle_us <= limit and not connection.stream.readable():
+                connection.written = connection.answered = False
                 return connection
             self._discard(connection)
         if self.open >= self.budget and not self.evict():
@@ -213,6 +253,7 @@
         while True:
             event = yield from self._next(connection, patience)
             if isinstance(event, h11.Response):
+                connection.answered = True
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise ConnectionError("no answer")
@@ -224,7 +265,15 @@
                 return event
             self._check_patience(patience)
 
-    def _outcome(self, error: Exception, connection: Connection, patience: Branch | Probe) -> Outcome:
+    def _stale(self, hop: Hop, idle_us: int) -> None:
+        """A kept connection broke under a request: the others of this next hop may be as dead."""
+        self._close_idle(hop)
+        if self.keep.broke(hop.uid, idle_us, self.loop.now_us()):
+            self.log.event("kept connections are dropped", idle_us=idle_us, limit_us=self.keep.limit_us)
+
+    def _outcome(
+        self, error: Exception, hop: Hop, connection: Connection, patience: Branch | Probe
+    ) -> Outcome:
         """What an attempt that ended without a word of its own comes to."""
         if patience.cancelled:
             return Outcome.WITHDRAWN
@@ -233,6 +282,8 @@
         if isinstance(error, GaveUp):
             return Outcome.TIMED_OUT
         if isinstance(error, OSError) or connection.stream.ended:
+            if connection.idle_us is not None and not connection.answered:
+                self._stale(hop, connection.idle_us)
             return Outcome.BROKEN
         return Outcome.FAILURE
 
@@ -262,7 +313,7 @@
         try:
             keep = yield from self._exchange(branch, connection)
         except Exception as error:
-            outcome = self._outcome(error, connection, branch)
+            outcome = self._outcome(error, hop, connection, branch)
             if branch.outcome is None and outcome not in (Outcome.WITHDRAWN, Outcome.TIMED_OUT):
                 self.log.error("branch ended", error, next_hop=branch.worker, outcome=outcome)
             branch.end(self.loop.now_us(), outcome)
@@ -375,7 +426,7 @@
             if head.status_code == 200:
                 outcome, report = Outcome.SUCCESS, self._report(body)
         except Exception as error:
-            outcome = self._outcome(error, connection, probe)
+            outcome = self._outcome(error, hop, connection, probe)
             self.log.error("probe ended", error, next_hop=hop.uid, outcome=outcome)
             if outcome is Outcome.TIMED_OUT:
                 # Perhaps the machine was cut off: its kept connections would swallow requests in
--- a/tansygw/decide.py
+++ b/tansygw/decide.py
@@ -69,6 +69,7 @@
 PART_EVERY = 8  # arrivals between looks at our part of the fleet's work
 TRIAL_GROWTH = 2.0  # each failed trial of an ill worker makes the next wait so much longer
 TRIAL_MOST = 32.0  # ... up to this multiple of the first wait
+STRIKES = 2  # jobs in a row that break off or find no connection: one alone may be the network's doing
 PROOFS = 3  # after an error so many jobs must succeed in a row, one at a time: most errors are only frequent
 ERRORS_SICK = 0.3  # errors a second that a worker reports; healthy ones have one in minutes
 COLD_BUDGET = 0.4  # of what a cold worker can stand in a window, this share is sent: jobs differ in size
@@ -178,9 +179,9 @@
     """What this dispatcher knows of one worker."""
 
     __slots__ = ("asked", "blocked", "cell", "cold_credit", "cold_from", "cold_paid", "delta", "down",
-                 "errors", "faults", "figures", "free", "heard", "kind", "live", "memory", "moves", "name",
-                 "out", "pace", "past", "proofs", "ready", "retry_at", "risk_at", "seats", "seen",
-                 "started_us", "total", "trial", "waiting", "well_at", "zone")
+                 "errors", "faults", "figures", "free", "heard", "kind", "live", "lost_at", "memory", "moves",
+                 "name", "out", "pace", "past", "proofs", "ready", "retry_at", "risk_at", "seats", "seen",
+                 "started_us", "strikes", "total", "trial", "waiting", "well_at", "zone")
 
     def __init__(self, name: str) -> None:
         self.name = name
@@ -215,7 +216,9 @@
         self.errors = 0.0  # a second, by its newest report
         self.retry_at = 0  # left out until then
         self.risk_at = 0  # ... by jobs that must not run twice
-        self.down = False  # no connection: it may come back cold
+        self.strikes = 0  # jobs that broke off or found no connection since the last success
+        self.lost_at: int | None = None  # since when no connection was to be had
+        self.down = False  # ... for so long that it may come back cold
         self.trial: Attempt | None = None
 
     def learn(self, report: Report, now: int, spacing: float) -> bool:
@@ -260,7 +263,8 @@
         self.figures = None
         self.heard = self.seen = None
         self.memory = None
-        self.faults = self.past = self.proofs = 0
+        self.faults = self.past = self.proofs = self.strikes = 0
+        self.lost_at = None
         self.errors = 0.0
         self.down = False
         self.trial = None
@@ -466,20 +470,31 @@
             if worker.down:
                 self._well(worker)
             if worker.errors >= ERRORS_SICK:
-                self._fault(worker, proofs=PROOFS)
+                self._fault(worker, "errors", PROOFS)
+            if worker.lost_at is not None:
+                worker.lost_at, worker.strikes = None, 0
         elif event.outcome is Outcome.UNREACHABLE:
-            self._fault(worker, down=True)
+            self._strike(worker, lost=True)
         self._at(self.now + max(self.settings.tick_us, 1.0 / self._check_rate()), self._check, worker)
 
     # ------------------------------------------------------------ health
 
-    def _fault(self, worker: Worker, down: bool = False, proofs: int = 1) -> None:
+    def _strike(self, worker: Worker, lost: bool) -> None:
+        """A job broke off or found no connection there: once may happen to any, in a row it is ill health."""
+        worker.strikes += 1
+        if lost:
+            if worker.lost_at is None:
+                worker.lost_at = self.now
+            worker.down = worker.down or self.now - worker.lost_at >= self.busy_us
+        if worker.strikes >= STRIKES:
+            self._fault(worker, "no connection" if lost else "work broken off")
+
+    def _fault(self, worker: Worker, why: str, proofs: int = 1) -> None:
         """It could not be reached, failed or broke off its work: leave it until a trial, later each time."""
-        worker.down = worker.down or down
         worker.proofs = max(worker.proofs, proofs)
         if worker.trial is None and self.now < worker.retry_at:
             return
-        if not worker.faults and self.now - worker.well_at < TRIAL_MOST * self.busy_us:
+        if proofs > 1 and not worker.faults and self.now - worker.well_at < TRIAL_MOST * self.busy_us:
             worker.faults = worker.past  # a relapse
         worker.faults += 1
         worker.trial = None
@@ -487,7 +502,6 @@
         wait *= 0.75 + self.random.random() / 2
         worker.retry_at, worker.risk_at = self.now + int(wait), self.now + int(2 * wait)
         if worker.faults == 1:
-            why = "no connection" if down else "errors" if proofs > 1 else "work broken off"
             self._log(f"{worker.name} left out: {why}")
 
     def _well(self, worker: Worker) -> None:
@@ -504,6 +518,7 @@
 
     def _proved(self, worker: Worker) -> None:
         """A job succeeded there."""
+        worker.strikes, worker.lost_at = 0, None
         worker.proofs -= 1
         if worker.faults and worker.proofs <= 0:
             self._well(worker)
@@ -915,12 +930,10 @@
             self.class_us[request.cls] += SPACING_STEP * (took - self.class_us[request.cls])
             self._pace(attempt, took)
             self._proved(worker)
-        elif outcome is Outcome.UNREACHABLE:
-            self._fault(worker, down=True)
-        elif outcome is Outcome.BROKEN:
-            self._fault(worker)
+        elif outcome is Outcome.UNREACHABLE or outcome is Outcome.BROKEN:
+            self._strike(worker, outcome is Outcome.UNREACHABLE)
         elif outcome is Outcome.FAILURE:
-            self._fault(worker, proofs=PROOFS)
+            self._fault(worker, "errors", PROOFS)
         elif outcome is Outcome.OVERLOADED:
             worker.free = min(worker.free, 0.0)  # a blocked call, not ill health: it is full now
             worker.heard = worker.seen = now
