Move loop, ring, transaction, decider and log to core/, addresses and list names under both

Need: the layout that the coming parts share puts what knows no protocol into core/, and config.py must not import net/ for its types. Files moved, imports follow; Names, Address and address() stand in core/names.py.

--- a/rushsaddle/__main__.py
+++ b/rushsaddle/__main__.py
@@ -12,9 +12,9 @@
 from tansygw import Dispatcher
 
 from . import config
-from .decider import Decider
-from .jsonlog import Log
-from .loop import Clock, Coroutine, Loop, Wait
+from .core.decider import Decider
+from .core.log import Log
+from .core.loop import Clock, Coroutine, Loop, Wait
 from .net.caller import Callers, Class
 from .net.discovery import Discovery
 from .net.nexthop import NextHops
--- a/rushsaddle/config.py
+++ b/rushsaddle/config.py
@@ -12,8 +12,7 @@
 from tansygw.interface import Settings
 from tansygw.settings import settings_from
 
-from .net.discovery import Names
-from .net.nexthop import Address, address
+from .core.names import Address, Names, address
 
 
 class ConfigError(Exception):
--- a/rushsaddle/decider.py
+++ b/rushsaddle/core/decider.py
@@ -27,7 +27,7 @@
     TimerFired,
 )
 
-from . import jsonlog
+from .log import Log as EventLog
 from .loop import Coroutine, Loop, Task, Wait
 from .transaction import Answer, Branch, Job, Transaction, Verdict
 
@@ -42,7 +42,7 @@
 
 class Decider:
     def __init__(
-        self, loop: Loop, log: jsonlog.Log, dispatcher: Dispatcher, tick_us: int, max_attempts: int,
+        self, loop: Loop, log: EventLog, dispatcher: Dispatcher, tick_us: int, max_attempts: int,
         on_fault: Callable[[], None],
     ) -> None:
         self.loop = loop
--- a/rushsaddle/net/caller.py
+++ b/rushsaddle/net/caller.py
@@ -15,12 +15,13 @@
 
 import h11
 
-from ..decider import Decider
-from ..jsonlog import Log
-from ..loop import Coroutine, Loop, Task, Wait
-from ..transaction import Answer, Job, Transaction, Verdict
+from ..core.decider import Decider
+from ..core.log import Log
+from ..core.loop import Coroutine, Loop, Task, Wait
+from ..core.names import Address
+from ..core.transaction import Answer, Job, Transaction, Verdict
 from .http import BODY_MOST, NO_DESCRIPTOR, Header, Request, Stream, end_to_end, odd_framing
-from .nexthop import Address, NextHops
+from .nexthop import NextHops
 
 IDLE_US = 75_000_000  # a leg may stand idle for so long between requests
 READ_US = 2_000_000  # the first request must come whole within this of connecting, a later one of its start
--- a/rushsaddle/net/discovery.py
+++ b/rushsaddle/net/discovery.py
@@ -5,54 +5,24 @@
 import select
 import socket
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any
 
 import h11
 import orjson
 
-from tansygw.interface import Event, ListKind, WorkerEntry, WorkerList, WorkerState
+from tansygw.interface import Event, ListKind, WorkerList
 
-from ..jsonlog import Log
-from ..loop import Coroutine, Loop, Task, Wait
+from ..core.log import Log
+from ..core.loop import Coroutine, Loop, Task, Wait
+from ..core.names import Address, Names
 from .http import Lines, Stream
-from .nexthop import Address, NextHops, address
+from .nexthop import NextHops
 
 LIST_MOST = 4 * 1024 * 1024  # bytes of one list
 ANSWER_US = 5_000_000  # a call may wait its turn for so long
 MOVE_US = 4_000_000  # a service that is new must be heard within this: it is asked again by itself until then
 AGAIN_US = 200_000  # ... after so long
 SILENCE_US = 3_500_000  # an empty line comes every 2 s: a watch this silent is dead
-NOWHERE = ("", 0)  # an entry that is gone need not tell where it was
-STATES = {s.value: s for s in WorkerState}
-
-
-@dataclass(slots=True, frozen=True)
-class Names:
-    """Zones and machine kinds are numbers to the decisions: their places in the settings' lists."""
-
-    zones: dict[Any, int]
-    kinds: dict[Any, int]
-
-    @classmethod
-    def of(cls, zones: list[Any], kinds: list[Any]) -> Names:
-        return cls({name: n for n, name in enumerate(zones)}, {name: n for n, name in enumerate(kinds)})
-
-    def entries(self, targets: Any) -> list[tuple[WorkerEntry, Address]]:
-        """The entries of a list; raises ValueError, KeyError or TypeError on what is none."""
-        found = []
-        for target in targets:
-            state = STATES.get(target["state"])
-            if state is None:  # a state of later making: the entry is skipped
-                continue
-            where = address(target["endpoint"]) if state is not WorkerState.GONE else NOWHERE
-            entry = WorkerEntry(
-                str(target["uid"]), state, self.zones.get(target.get("az"), -1),
-                self.kinds.get(target.get("model"), -1), int(target.get("pod_group") or 0),
-                float(target.get("capacity_hint", 1.0)), int(target.get("boot_ms") or 0) * 1000,
-            )
-            found.append((entry, where))
-        return found
 
 
 class Discovery:
--- a/rushsaddle/net/http.py
+++ b/rushsaddle/net/http.py
@@ -12,8 +12,8 @@
 
 import h11
 
-from ..loop import Coroutine, Loop, Wait
-from ..ring import Ring
+from ..core.loop import Coroutine, Loop, Wait
+from ..core.ring import Ring
 
 BODY_MOST = 64 * 1024  # of a request
 RING_MOST = 128 * 1024  # a request with its head fits in whole
--- a/rushsaddle/net/nexthop.py
+++ b/rushsaddle/net/nexthop.py
@@ -10,7 +10,6 @@
 import select
 import socket
 from collections.abc import Callable
-from ipaddress import IPv4Address
 from typing import Any
 
 import h11
@@ -19,9 +18,10 @@
 from tansygw.interface import CheckResult, Event, Outcome, Progress, Report, WorkerEntry, WorkerState
 from tansygw.settings import named_report
 
-from ..jsonlog import Log
-from ..loop import Coroutine, Loop, Wait
-from ..transaction import Branch
+from ..core.log import Log
+from ..core.loop import Coroutine, Loop, Wait
+from ..core.names import Address
+from ..core.transaction import Branch
 from .http import BODY_MOST, NO_DESCRIPTOR, Lines, Request, Stream
 
 LINE_MOST = 8 * BODY_MOST  # a result in JSON may take six bytes for one
@@ -32,19 +32,6 @@
 KEEP_TRY_US = 10_000_000  # so long after the limit was lowered, or tried, twice of it is tried
 PASSING = (408, 425, 429)  # of the statuses that blame the request, those that may change by themselves
 
-Address = tuple[str, int]
-
-
-def address(text: Any) -> Address:
-    """Where something listens.  Names are not taken: looking one up would stop the whole node."""
-    host, _, port = str(text).rpartition(":")
-    try:
-        if 0 <= int(port) < 65536:
-            return str(IPv4Address(host)), int(port)
-    except ValueError:
-        pass
-    raise ValueError(f"{text!r} is not an IPv4 address and port")
-
 
 class GaveUp(Exception):
     """Cancelled, or the time is up."""
