--- a/rushsaddle/__main__.py
+++ b/rushsaddle/__main__.py
@@ -1,146 +1,19 @@
-"""Start of one real node, and its exit code."""
+"""``python -m rushsaddle``: without a word the node serves, as the platform starts it; else the commands."""
 
 from __future__ import annotations
 
-import gc
-import select
-import signal
-import socket
 import sys
-from dataclasses import fields
 
-from tansygw import Dispatcher
 
-from . import config
-from .core.decider import Decider
-from .core.log import Log
-from .core.loop import Clock, Coroutine, Loop, Wait
-from .net.caller import Callers, Class
-from .net.discovery import Discovery
-from .net.nexthop import NextHops
-
-SPARE = 40  # descriptors for the loop, the log, discovery, and sockets on their way out
-DRAIN_LOOK_US = 20_000
-
-
-TAKEN = ("discovery", "sockets")  # what a new configuration changes without a restart
-
-
-def _budget(sockets: int) -> int:
-    """As many caller legs as branches, probes and idle next hops."""
-    return (sockets - SPARE) // 2
-
-
-def _signals() -> socket.socket:
-    """Where the numbers of signals arrive; from now on none of these ends the process by itself."""
-    signals, far = socket.socketpair()
-    signals.setblocking(False)
-    far.setblocking(False)
-    signal.set_wakeup_fd(far.detach(), warn_on_full_buffer=False)
-    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-        signal.signal(number, lambda *_: None)
-    return signals
-
-
-class Node:
-    """One of each part, put together."""
-
-    def __init__(self, told: config.Config) -> None:
-        settings, limits = told.settings, told.settings.limits
-        clock = Clock()
-        self.code = 0
-        self.log = Log(told.name, clock.now_us)
-        self.loop = Loop(clock, lambda error: self.log.error("a connection's code failed", error))
-        self.decider = Decider(
-            self.loop, self.log, Dispatcher(settings, told.seed), settings.tick_us, limits.max_attempts,
-            self.fault,
-        )
-        budget = _budget(told.sockets)
-        connect_us = limits.connect_timeout_us or 250_000
-        self.hops = NextHops(
-            self.loop, self.log, self.decider.put, budget, connect_us, told.conn_idle_us // 2,
-            told.report_names,
-        )
-        self.decider.hops = self.hops
-        self.discovery = Discovery(
-            self.loop, self.log, self.decider.put, self.hops, told.names, told.discovery, connect_us
-        )
-        self.decider.subscribe = self.discovery.subscribe
-        classes = {c.name: Class(n, c.deadline_us) for n, c in enumerate(settings.classes)}
-        tenants = {name: n for n, name in enumerate(told.tenant_names)}
-        self.callers = Callers(self.loop, self.log, self.decider, self.hops, classes, tenants, budget)
-        self.deadline_us = max(c.deadline_us for c in settings.classes)
-        self.told = told
-
-    def run(self, signals: socket.socket) -> int:
-        """Serve until a signal to end; raises OSError where the address is not to be had."""
-        told = self.told
-        listen = self.callers.listen(told.listen)
-        self.discovery.start(told.known)
-        self.decider.start()
-        self.loop.spawn(self.hops.sweep())
-        self.loop.spawn(self._heed(signals))
-        self.log.event("ready", listen=listen, next_hops=len(self.hops.hops))
-        self.loop.run()
-        self.log.event("stopped", code=self.code)
-        return self.code
-
-    def fault(self) -> None:
-        """The decisions failed: nothing that goes on without them can be trusted."""
-        self.code = 1
-        self.loop.stopped = True
-
-    def _heed(self, signals: socket.socket) -> Coroutine[None]:
-        """The one task for signals: a byte each, its number."""
-        draining = False
-        while True:
-            yield Wait(signals.fileno(), select.EPOLLIN)
-            told = signals.recv(4096)
-            if signal.SIGHUP in told:
-                self._reload()
-            if not draining and (signal.SIGTERM in told or signal.SIGINT in told):
-                draining = True
-                self.loop.spawn(self._drain())
-
-    def _reload(self) -> None:
-        """Take the file as it is now, what can be taken without a restart; a bad one changes nothing."""
-        began = self.loop.now_us()
-        try:
-            told = config.reread()
-        except config.ConfigError as error:
-            self.log.error("configuration kept", error)
-            return
-        old, self.told = self.told, told
-        self.discovery.move(told.discovery)
-        self.hops.budget = self.callers.budget = _budget(told.sockets)
-        late = [f.name for f in fields(told) if getattr(told, f.name) != getattr(old, f.name)]
-        late = [name for name in late if name not in TAKEN]
-        self.log.event("configuration read", at_next_start=late, us=self.loop.now_us() - began)
-
-    def _drain(self) -> Coroutine[None]:
-        """Take what is on the way, finish what is held, stop."""
-        self.log.event("draining", legs=len(self.callers.legs))
-        yield from self.callers.drain()
-        until = self.loop.now_us() + self.deadline_us
-        while self.loop.now_us() < until and (self.callers.legs or self.decider.transactions):
-            yield Wait(until_us=self.loop.now_us() + DRAIN_LOOK_US)
-        self.loop.stopped = True
+def main() -> int:
+    if len(sys.argv) == 1:
+        from .node import serve
 
+        return serve()
+    from .cli import command
 
-def main() -> int:
-    signals = _signals()
-    try:
-        node = Node(config.read())
-    except (config.ConfigError, ValueError) as error:
-        print(f"rushsaddle: {error}", file=sys.stderr)
-        return 2
-    gc.freeze()
-    gc.set_threshold(50_000, 20, 100)  # few cycles are made; collecting often costs more than it frees
-    try:
-        return node.run(signals)
-    except OSError as error:
-        print(f"rushsaddle: cannot listen on {node.told.listen}: {error}", file=sys.stderr)
-        return 2
+    command.main(prog_name="rushsaddle")
+    return 0
 
 
 if __name__ == "__main__":
--- a/rushsaddle/core/decider.py
+++ b/rushsaddle/core/decider.py
@@ -14,6 +14,7 @@
     AttemptNote,
     Cancel,
     Check,
+    Earlier,
     Event,
     Fail,
     Log,
@@ -56,6 +57,8 @@
         self.transactions: dict[int, Transaction] = {}
         self.names: set[str] = set()  # of all transactions that are open, or have a branch out
         self.stepped_us = 0
+        self.observe: Callable[[Event], None] | None = None  # told of each event that the decisions hear
+        self.on_over: Callable[[Transaction], None] | None = None  # told of the end of each transaction
         self._count = 0
         self._queue: deque[Event | Transaction] = deque()
         self._timers: list[tuple[int, int]] = []
@@ -69,14 +72,21 @@
 
     def submit(
         self, name: str, job: Job, payload: object, received_us: int, deadline_us: int,
-        on_answer: Callable[[], None],
+        on_answer: Callable[[], None], gate: Callable[[Branch], None] | None = None,
+        earlier: tuple[Earlier, ...] = (),
     ) -> Transaction:
-        """A request has come whole: it is owed an answer from here on.  Its name must not be in use."""
+        """A request has come whole: it is owed an answer from here on.  Its name must not be in use.
+
+        With a ``gate`` each branch is handed to it instead of being started: it calls ``begin`` when the
+        branch may go, or ends it.  ``earlier``: attempts of a process before this one.
+        """
         self._count += 1
         self.names.add(name)
         transaction = Transaction(
-            self._count, name, job, payload, received_us, deadline_us, self.put, on_answer
+            self._count, name, job, payload, received_us, deadline_us, self.put, on_answer, self.on_over
         )
+        transaction.gate = gate
+        transaction.earlier = earlier
         self._enqueue(transaction)
         return transaction
 
@@ -120,6 +130,8 @@
                 item_event = item
             if isinstance(item_event, RequestArrived | AttemptEnded | AttemptNote | RequestGone):
                 touched.add(item_event.request)
+            if self.observe is not None:
+                self.observe(item_event)
             events.append(item_event)
         while self._timers and self._timers[0][0] <= now:
             events.append(TimerFired(heapq.heappop(self._timers)[1]))
@@ -161,18 +173,22 @@
             self.log.event("decisions", text=action.text)
 
     def _send(self, action: Send, now: int) -> None:
-        assert self.hops is not None
         transaction = self.transactions.get(action.request)
         if transaction is None:  # it ended and the decisions were told: nothing is left to count it under
             self.log.event("send for an unknown request", request=action.request, worker=action.worker)
             return
         branch = transaction.branch(action.worker, action.timeout_us, now)
-        if (
-            transaction.over
-            or branch.number >= self.max_attempts
-            or branch.until_us <= now
-            or not self.hops.start(branch)
-        ):
+        if branch.number >= self.max_attempts:
+            branch.end(now, Outcome.VOID)
+        elif transaction.gate is not None:
+            transaction.gate(branch)
+        else:
+            self.begin(branch, now)
+
+    def begin(self, branch: Branch, now: int) -> None:
+        """Carry a branch out, or end it as one that was never sent."""
+        assert self.hops is not None
+        if branch.transaction.over or branch.until_us <= now or not self.hops.start(branch):
             branch.end(now, Outcome.VOID)
 
     def _finish(self, number: int, answer: Answer) -> None:
@@ -185,5 +201,5 @@
     job = t.job
     return RequestArrived(
         t.number, job.cls, max(0, t.deadline_us - now), job.slots, job.memory, job.tenant, job.key,
-        job.repeat, job.expected_us,
+        job.repeat, job.expected_us, t.earlier,
     )
--- a/rushsaddle/core/transaction.py
+++ b/rushsaddle/core/transaction.py
@@ -10,7 +10,16 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from tansygw.interface import AttemptEnded, AttemptNote, Event, Outcome, Progress, Report, RequestGone
+from tansygw.interface import (
+    AttemptEnded,
+    AttemptNote,
+    Earlier,
+    Event,
+    Outcome,
+    Progress,
+    Report,
+    RequestGone,
+)
 
 
 class Verdict(Enum):
@@ -85,12 +94,13 @@
 
 
 class Transaction:
-    __slots__ = ("answer", "branches", "deadline_us", "job", "name", "number", "on_answer", "out", "over",
-                 "payload", "received_us", "tell")
+    __slots__ = ("answer", "branches", "deadline_us", "earlier", "gate", "job", "name", "number", "on_answer",
+                 "on_over", "out", "over", "payload", "received_us", "tell")
 
     def __init__(
         self, number: int, name: str, job: Job, payload: object, received_us: int, deadline_us: int,
         tell: Callable[[Event], None], on_answer: Callable[[], None],
+        on_over: Callable[[Transaction], None] | None = None,
     ) -> None:
         self.number = number  # the decisions' name for it
         self.name = name  # the caller's
@@ -100,6 +110,9 @@
         self.deadline_us = deadline_us
         self.tell = tell
         self.on_answer = on_answer
+        self.on_over = on_over
+        self.gate: Callable[[Branch], None] | None = None  # each branch passes it before it is sent
+        self.earlier: tuple[Earlier, ...] = ()
         self.branches: list[Branch] = []
         self.out = 0  # branches without an outcome
         self.answer: Answer | None = None
@@ -121,9 +134,13 @@
             self.over = True
             self.answer = answer
             self.on_answer()
+            if self.on_over is not None:
+                self.on_over(self)
 
     def gone(self) -> None:
         """The caller has left: nothing more is owed."""
         if not self.over:
             self.over = True
             self.tell(RequestGone(self.number))
+            if self.on_over is not None:
+                self.on_over(self)
--- a/rushsaddle/net/caller.py
+++ b/rushsaddle/net/caller.py
@@ -5,13 +5,12 @@
 
 from __future__ import annotations
 
-import re
 import select
 import socket
 from collections.abc import Mapping
 from http import HTTPStatus
 from itertools import islice
-from typing import Any
+from typing import Any, Protocol
 
 import h11
 
@@ -20,7 +19,18 @@
 from ..core.loop import Coroutine, Loop, Task, Wait
 from ..core.names import Address
 from ..core.transaction import Answer, Job, Transaction, Verdict
-from .http import BODY_MOST, NO_DESCRIPTOR, Header, Request, Stream, end_to_end, odd_framing
+from .http import (
+    BODY_MOST,
+    NO_DESCRIPTOR,
+    BadRequest,
+    Header,
+    Request,
+    Stream,
+    end_to_end,
+    number,
+    odd_framing,
+    status_of,
+)
 from .nexthop import NextHops
 
 IDLE_US = 75_000_000  # a leg may stand idle for so long between requests
@@ -37,7 +47,6 @@
 TIMEOUT_MOST = 86_400.0  # seconds; no figure of a caller may grow without bound in the decisions
 ATTR_MOST = 1e6
 COST_MOST = 1e12
-NUMBER = re.compile(rb"[0-9]+(\.[0-9]*)?([eE][-+]?[0-9]+)?")
 HANGUP = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
 
 
@@ -51,13 +60,23 @@
         self.deadline_us = deadline_us
 
 
-class BadRequest(Exception):
-    """A request that makes no sense: its status, and whether its body may still be on the way."""
+class Desk(Protocol):
+    """Takes requests that are to wait, and answers for them at ``/jobs/``."""
 
-    def __init__(self, status: int, why: str, unread: bool = True) -> None:
-        super().__init__(why)
-        self.status = status
-        self.unread = unread
+    longest_us: int
+
+    def claims(self, headers: Mapping[bytes, bytes]) -> bool: ...
+
+    def known(self, name: str) -> bool: ...
+
+    def job(
+        self, leg: Leg, headers: Mapping[bytes, bytes], job: Job, payload: Request, received_us: int,
+        wait_us: int | None, limit_us: int,
+    ) -> Coroutine[bool]: ...
+
+    def resource(
+        self, leg: Leg, head: Any, headers: Mapping[bytes, bytes], path: bytes, unread: bool
+    ) -> Coroutine[bool]: ...
 
 
 class Leg:
@@ -85,6 +104,7 @@
         self.tenants = tenants
         self.budget = budget  # legs at once
         self.legs: dict[Leg, None] = {}
+        self.desk: Desk | None = None  # where jobs may wait
         self.draining = False  # no more requests than those that are on the way
         self._listener: socket.socket | None = None
         self._acceptor: Task | None = None
@@ -139,7 +159,7 @@
             chosen += islice((leg for leg in self.legs if leg.proven and leg.idle), EVICT_MOST)
         for leg in chosen:
             leg.evicted = True
-            self._wake(leg)
+            self.wake(leg)
 
     def drain(self) -> Coroutine[None]:
         """Take what is on the way, then let the legs end one by one."""
@@ -154,7 +174,7 @@
             listener.close()
         for leg in self.legs:
             if leg.idle:
-                self._wake(leg)
+                self.wake(leg)
 
     # ------------------------------------------------------------ one leg
 
@@ -193,7 +213,7 @@
             if stream.ended:
                 return False  # the caller left in the middle of a request
             status, text, close = error.error_status_hint, f"{error}\n", True
-        if not (yield from self._reply(leg, status, text.encode(), close=close)):
+        if not (yield from self.reply(leg, status, text.encode(), close=close)):
             return False
         yield Wait(until_us=self.loop.now_us() + ERROR_PAUSE_US)
         return leg.proven or self.loop.now_us() < until
@@ -228,7 +248,10 @@
             if head.method not in (b"GET", b"HEAD"):
                 raise BadRequest(405, "GET only", unread)
             leg.proven = not unread
-            return (yield from self._reply(leg, 503 if self.draining else 200, b"", close=unread))
+            return (yield from self.reply(leg, 503 if self.draining else 200, b"", close=unread))
+        desk = self.desk
+        if desk is not None and (path == b"/jobs" or path.startswith(b"/jobs/")):
+            return (yield from desk.resource(leg, head, headers, path, unread))
         cls = self.classes.get(path[1:].partition(b"/")[0].decode("latin-1"))
         if cls is None:
             raise BadRequest(404, "no such class", unread)
@@ -238,27 +261,37 @@
             raise BadRequest(411, "a length is needed")
         if length is not None and int(length) > BODY_MOST:
             raise BadRequest(413, "too long a body")
-        job, wait_us = self._job(headers, cls)
+        claimed = desk is not None and desk.claims(headers)
+        longest_s = desk.longest_us / 1e6 if desk is not None and claimed else TIMEOUT_MOST
+        job, wait_us = self._job(headers, cls, longest_s)
         body = yield from self._body(stream, until_us)
         received = self.loop.now_us()
         name = headers[b"x-request-id"].decode("ascii")
-        if name in self.decider.names:
+        if name in self.decider.names or (desk is not None and desk.known(name)):
             raise BadRequest(409, "X-Request-ID: the id of an open request", unread=False)
         payload = Request(name, head.method, head.target, end_to_end(head.headers.raw_items()), body)
         leg.proven = True
+        if desk is not None and claimed:
+            return (yield from desk.job(leg, headers, job, payload, received, wait_us, cls.deadline_us))
+        wait_us = cls.deadline_us if wait_us is None else wait_us
         transaction = self.decider.submit(
-            name, job, payload, received, received + wait_us, lambda: self._wake(leg)
+            name, job, payload, received, received + wait_us, lambda: self.wake(leg)
         )
+        return (yield from self.await_answer(leg, transaction))
+
+    def await_answer(self, leg: Leg, transaction: Transaction) -> Coroutine[bool]:
+        """Wait for the one final answer and send it; a caller that leaves ends the transaction."""
         while transaction.answer is None:
-            if (yield Wait(stream.sock.fileno(), select.EPOLLRDHUP)) & HANGUP and transaction.answer is None:
+            mask = yield Wait(leg.stream.sock.fileno(), select.EPOLLRDHUP)
+            if mask & HANGUP and transaction.answer is None:
                 transaction.gone()
                 self._log(transaction)
                 return False
         self._log(transaction)
         status, more = _http(transaction.answer)
-        return (yield from self._reply(leg, status, transaction.answer.result, more))
+        return (yield from self.reply(leg, status, transaction.answer.result, more))
 
-    def _wake(self, leg: Leg) -> None:
+    def wake(self, leg: Leg) -> None:
         if leg.task is not None:
             self.loop.wake(leg.task)
 
@@ -276,18 +309,20 @@
                 raise BadRequest(413, "too long a body")
         return bytes(body)
 
-    def _job(self, headers: Mapping[bytes, bytes], cls: Class) -> tuple[Job, int]:
-        """What the headers tell, and how long the caller waits."""
+    def _job(
+        self, headers: Mapping[bytes, bytes], cls: Class, longest_s: float
+    ) -> tuple[Job, int | None]:
+        """What the headers tell, and how long the caller waits, where it says so."""
         if not headers.get(b"x-request-id"):
             raise BadRequest(400, "X-Request-ID: missing")
-        wait_us = cls.deadline_us
+        wait_us = None
         if b"x-timeout" in headers:
-            wait_us = int(_number("X-Timeout", headers[b"x-timeout"], TIMEOUT_MOST) * 1e6)
+            wait_us = int(number("X-Timeout", headers[b"x-timeout"], longest_s) * 1e6)
         attrs: dict[str, float] = {}
         for item in headers.get(b"x-attrs", b"").split(b","):
             name, equals, value = item.strip().partition(b"=")
             if name in (b"slots", b"memory"):
-                attrs[name.decode()] = _number("X-Attrs", value, ATTR_MOST)
+                attrs[name.decode()] = number("X-Attrs", value, ATTR_MOST)
             elif name and not equals:
                 raise BadRequest(400, "X-Attrs: not name=value")
         key = ""
@@ -295,7 +330,7 @@
             name, _, value = crumb.strip().partition(b"=")
             if name == b"key":
                 key = value.decode("latin-1")
-        cost = int(_number("X-Cost", headers.get(b"x-cost", b"0"), COST_MOST))
+        cost = int(number("X-Cost", headers.get(b"x-cost", b"0"), COST_MOST))
         job = Job(
             cls.number, attrs.get("slots", 1.0), attrs.get("memory", 0.0),
             self.tenants.get(headers.get(b"x-tenant-id", b"").decode("latin-1"), 0), key,
@@ -303,7 +338,7 @@
         )
         return job, wait_us
 
-    def _reply(
+    def reply(
         self, leg: Leg, status: int, body: bytes, more: list[Header] | None = None, close: bool = False
     ) -> Coroutine[bool]:
         stream = leg.stream
@@ -344,15 +379,6 @@
         )
 
 
-def _number(name: str, text: bytes, most: float) -> float:
-    if not NUMBER.fullmatch(text):  # float() takes more: 1_0, infinity
-        raise BadRequest(400, f"{name}: not a number")
-    value = float(text)
-    if not 0 <= value <= most:
-        raise BadRequest(400, f"{name}: out of range")
-    return value
-
-
 def _http(answer: Answer) -> tuple[int, list[Header]]:
     if answer.verdict is Verdict.SERVED:
         return 200, [(b"Content-Type", b"application/octet-stream")]
@@ -360,4 +386,4 @@
         if answer.retry_after_us:
             return 503, [(b"Retry-After", b"%.3f" % (answer.retry_after_us / 1e6))]
         return 503, []
-    return (400 if answer.unfit else 504 if answer.late else 502), []
+    return status_of(answer), []
--- a/rushsaddle/net/http.py
+++ b/rushsaddle/net/http.py
@@ -14,6 +14,7 @@
 
 from ..core.loop import Coroutine, Loop, Wait
 from ..core.ring import Ring
+from ..core.transaction import Answer, Verdict
 
 BODY_MOST = 64 * 1024  # of a request
 RING_MOST = 128 * 1024  # a request with its head fits in whole
@@ -34,10 +35,39 @@
 ONCE = frozenset((
     b"host", b"content-length", b"transfer-encoding", b"x-request-id", b"idempotency-key", b"x-timeout",
 ))
+NUMBER = re.compile(rb"[0-9]+(\.[0-9]*)?([eE][-+]?[0-9]+)?")
 HEAD_END = re.compile(rb"\n\r?\n")
 ID = re.compile(rb"[!-+\--~]{1,128}")  # what can be seen, without a comma: those join repeated headers
 
 
+class BadRequest(Exception):
+    """A request that makes no sense: its status, and whether its body may still be on the way."""
+
+    def __init__(self, status: int, why: str, unread: bool = True) -> None:
+        super().__init__(why)
+        self.status = status
+        self.unread = unread
+
+
+def number(name: str, text: bytes, most: float) -> float:
+    """A figure of a caller, from 0 to ``most``; raises BadRequest."""
+    if not NUMBER.fullmatch(text):  # float() takes more: 1_0, infinity
+        raise BadRequest(400, f"{name}: not a number")
+    value = float(text)
+    if not 0 <= value <= most:
+        raise BadRequest(400, f"{name}: out of range")
+    return value
+
+
+def status_of(answer: Answer) -> int:
+    """The status that tells a caller of an answer."""
+    if answer.verdict is Verdict.SERVED:
+        return 200
+    if answer.verdict is Verdict.BUSY:
+        return 503
+    return 400 if answer.unfit else 504 if answer.late else 502
+
+
 class Stream:
     """One connection.  Whoever made it owns it and closes it, in one place.
 
--- /dev/null
+++ b/rushsaddle/operator/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's own file: what it may say, and how it is read and checked."""
--- /dev/null
+++ b/rushsaddle/waiting/records.py
@@ -0,0 +1,81 @@
+"""What the store keeps of a job, as bytes with a checksum.  No I/O."""
+
+from __future__ import annotations
+
+from typing import TypeVar
+
+import crc32c
+import msgspec
+
+from tansygw.interface import Earlier
+
+from ..core.transaction import Job
+
+R = TypeVar("R", "Kept", "Sent", "Final")
+
+
+class BadRecord(Exception):
+    """A record that is not what was written."""
+
+
+class Kept(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """A job as it was taken.  ``cls`` is the class's name: numbers change with the settings.  Times are
+    microseconds since the Unix epoch; ``payload`` is in the words of the front that took it."""
+
+    name: str
+    cls: str
+    due_us: int
+    give_up_us: int
+    after: tuple[str, ...]
+    slots: float
+    memory: float
+    tenant: int
+    key: str
+    repeat: bool
+    expected_us: int
+    payload: bytes
+
+    def job(self, cls: int) -> Job:
+        return Job(cls, self.slots, self.memory, self.tenant, self.key, self.repeat, self.expected_us)
+
+
+class Sent(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """One attempt, written before its first byte went out.  ``zone`` and ``cell`` are those of its sender."""
+
+    number: int
+    worker: str
+    zone: int
+    cell: int
+    at_us: int
+
+    def earlier(self) -> Earlier:
+        return Earlier(self.worker, self.zone, self.cell, self.at_us)
+
+
+class Final(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """A job's one final answer.  ``state`` is served, refused, failed or cancelled; ``status`` is HTTP's."""
+
+    state: str
+    status: int
+    at_us: int
+    result: bytes = b""
+    why: str = ""
+
+
+def seal(kind: str, name: str, content: bytes) -> int:
+    """The checksum of a record: of what it is and whose, too, so that no row can pass for another."""
+    return crc32c.crc32c(content, crc32c.crc32c(f"{kind}\0{name}\0".encode()))
+
+
+def pack(record: Kept | Sent | Final) -> bytes:
+    return msgspec.msgpack.encode(record)
+
+
+def unpack(kind: type[R], label: str, name: str, content: bytes, seal_was: int) -> R:
+    """The record; raises BadRecord where a byte of it has changed."""
+    if seal(label, name, content) != seal_was:
+        raise BadRecord(f"{label} of {name!r}: wrong checksum")
+    try:
+        return msgspec.msgpack.decode(content, type=kind)
+    except msgspec.DecodeError as error:
+        raise BadRecord(f"{label} of {name!r}: {error}") from None
--- /dev/null
+++ b/rushsaddle/waiting/service.py
@@ -0,0 +1,503 @@
+"""Waiting jobs joined to the node: one task steps the plan; fronts, the Decider and the store meet here.
+
+A front brings a job with ``hold`` (it stays with its caller) or ``keep`` (it lasts in the store) and is woken
+through its ticket's ``on_change``.  A released job is an ordinary transaction of the one Decider queue.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from itertools import islice
+from typing import Protocol
+
+from tansygw.interface import (
+    AttemptEnded,
+    CheckResult,
+    Earlier,
+    Effect,
+    Event,
+    ListKind,
+    Outcome,
+    Settings,
+    WorkerList,
+    WorkerState,
+)
+
+from ..core.decider import Decider
+from ..core.log import Log
+from ..core.loop import Coroutine, Loop, Task, Wait
+from ..core.transaction import Answer, Branch, Job, Transaction, Verdict
+from .plan import End, Plan, Release, State, Submission, Why
+from .plan import Job as Planned
+from .records import Final, Kept, Sent
+from .recover import GiveUp, GoOn, fate
+from .room import Room
+from .store import Failed, Store
+
+GATE_MOST_US = 100_000  # a record of an attempt that takes longer to write comes too late: it is not sent
+FORGET_US = 30_000_000  # between looks for answers that were kept long enough
+LIST_MOST = 1000
+STATUS = {Why.UNMET: 424, Why.NEVER: 422, Why.FULL: 429, Why.HOPELESS: 503, Why.LATE: 504, Why.CANCELLED: 410,
+          Why.ENDING: 503}
+
+
+class Front(Protocol):
+    """What only the protocol of a front knows."""
+
+    def payload(self, packed: bytes) -> object:
+        """The payload of a job whose content was kept."""
+
+    def status(self, answer: Answer) -> int:
+        """The status that an answer has in this front's words, which are HTTP's."""
+
+
+@dataclass(slots=True, frozen=True)
+class Rules:
+    """What the operator sets.  Times are microseconds."""
+
+    most: int
+    pace: bool
+    reserve: float
+    longest_us: int
+    remember_us: int
+    remember_most: int
+    keep_us: int
+    keep_most: int
+
+
+class Ticket:
+    """One waiting job of a front.  ``final`` is its answer; one that was released has ``transaction``."""
+
+    __slots__ = ("content", "final", "job", "kept", "on_change", "payload", "retry_after_us", "transaction")
+
+    def __init__(self, on_change: Callable[[], None]) -> None:
+        self.on_change = on_change
+        self.job: Job | None = None  # held jobs only: kept ones are read from their content when they go
+        self.payload: object = None
+        self.content: Kept | None = None
+        self.kept = False  # the store has it
+        self.transaction: Transaction | None = None
+        self.final: Final | None = None
+        self.retry_after_us = 0
+
+
+def _nobody() -> None:
+    """Nobody waits for this ticket."""
+
+
+class Waiting:
+    def __init__(
+        self, loop: Loop, log: Log, decider: Decider, settings: Settings, rules: Rules, front: Front,
+        store: Store | None,
+    ) -> None:
+        self.loop = loop
+        self.log = log
+        self.decider = decider
+        self.settings = settings
+        self.rules = rules
+        self.front = front
+        self.store = store
+        self.draining = False
+        self.legs = 0  # caller legs that wait here, counted by the front
+        self.classes = {c.name: n for n, c in enumerate(settings.classes)}
+        self.room = Room([float(c.aim_us) for c in settings.classes], rules.reserve, settings.group_size)
+        back_us = settings.limits.max_retry_after_us or 2_000_000
+        self.plan = Plan(
+            len(settings.classes), self.room, rules.most, rules.remember_us, rules.remember_most,
+            back_us if settings.limits.retry_after else 0, rules.pace,
+        )
+        self.answers: dict[str, int] = {}  # names of kept answers, oldest first, and their times
+        self._watchers: dict[str, list[Callable[[], None]]] = {}
+        self._places: dict[str, tuple[int, int]] = {}  # zone and cell of each sender
+        self._task: Task | None = None
+        self._stepped_us = 0
+        self._look = False  # something has changed since the last step
+        self._forget_at = 0
+        decider.observe = self._observe
+        decider.on_over = self._over
+
+    # ------------------------------------------------------------ what fronts call
+
+    def knows(self, name: str) -> bool:
+        """The id is in use here: it waits, runs, or has an answer that is kept."""
+        return name in self.plan.jobs or name in self.answers
+
+    def hold(
+        self, name: str, job: Job, payload: object, due_us: int, give_up_us: int, after: tuple[str, ...],
+        on_change: Callable[[], None],
+    ) -> Ticket | Why:
+        """Take a job that stays with its caller."""
+        if self.draining:
+            return Why.ENDING
+        ticket = Ticket(on_change)
+        ticket.job, ticket.payload = job, payload
+        why = self.plan.submit(
+            self.loop.now_us(), Submission(name, job.cls, due_us, give_up_us, after, job.slots, what=ticket)
+        )
+        self._wake()
+        return ticket if why is None else why
+
+    def keep(
+        self, name: str, job: Job, packed: bytes, due_us: int, give_up_us: int, after: tuple[str, ...],
+        on_change: Callable[[], None],
+    ) -> Ticket | Why:
+        """Take a job into the store; the ticket is ``kept``, or has its ``final``, at its next change."""
+        store = self.store
+        if store is None or store.full or len(self.answers) + len(self.plan.jobs) >= self._kept_most:
+            return Why.FULL
+        ticket = Ticket(on_change)
+        ticket.content = Kept(
+            name, self.settings.classes[job.cls].name, due_us, give_up_us, after, job.slots, job.memory,
+            job.tenant, job.key, job.repeat, job.expected_us, packed,
+        )
+        why = self.plan.submit(self.loop.now_us(), Submission(
+            name, job.cls, due_us, give_up_us, after, job.slots, unkept=True, what=ticket
+        ))
+        if why is not None:
+            return why
+        store.keep(ticket.content, lambda result: self._stored(name, ticket, result))
+        return ticket
+
+    @property
+    def _kept_most(self) -> int:
+        return self.rules.most + self.rules.keep_most
+
+    def leave(self, name: str, ticket: Ticket) -> None:
+        """The caller of a held job has left."""
+        if ticket.transaction is not None:
+            ticket.transaction.gone()
+        else:
+            self.plan.withdraw(self.loop.now_us(), name)
+            self._wake()
+
+    def cancel(self, name: str) -> bool | None:
+        """End a job that is not released.  None: no such job; False: it is released or over."""
+        job = self.plan.jobs.get(name)
+        if job is None:
+            return False if name in self.answers else None
+        if not self.plan.cancel(self.loop.now_us(), name):
+            return False
+        self._end_now()
+        return True
+
+    def watch(self, name: str, on_change: Callable[[], None]) -> None:
+        """Be told of the next change of a job."""
+        self._watchers.setdefault(name, []).append(on_change)
+
+    def unwatch(self, name: str, on_change: Callable[[], None]) -> None:
+        watching = self._watchers.get(name, [])
+        if on_change in watching:
+            watching.remove(on_change)
+        if not watching:
+            self._watchers.pop(name, None)
+
+    def show(self, name: str) -> dict[str, object] | None:
+        """A job that has no answer yet, as JSON tells it."""
+        job = self.plan.jobs.get(name)
+        return _shown(job) if job is not None else None
+
+    def listed(self, start: int, most: int) -> Iterator[dict[str, object]]:
+        """Jobs without an answer, in the order in which they came."""
+        for job in islice(self.plan.jobs.values(), start, start + min(most, LIST_MOST)):
+            yield _shown(job)
+
+    def counts(self) -> dict[str, object]:
+        store = self.store
+        return {
+            "jobs": len(self.plan.jobs), "ready": self.plan.ready, "answers": len(self.answers),
+            "bound": round(self.room.bound, 1), "out": self.room.out,
+            "store": None if store is None else {"queued": store.queued, "trouble": store.trouble},
+        }
+
+    def come_back_us(self) -> int:
+        return self.plan.come_back(self.loop.now_us())
+
+    # ------------------------------------------------------------ start and end
+
+    def start(self) -> None:
+        if self.store is not None:
+            self._recover(self.store)
+            self.store.start()
+        self._task = self.loop.spawn(self._run())
+
+    def _recover(self, store: Store) -> None:
+        """Go on with what an earlier process left."""
+        now = self.loop.now_us()
+        found = store.load()
+        by_name = {c.name: c for c in self.settings.classes}
+        counts = {"waiting": 0, "again": 0, "given_up": 0}
+        for name, (at, good) in sorted(found.answers.items(), key=lambda item: item[1][0]):
+            self.answers[name] = at
+            self.plan.outcomes.add(at, name, good)
+        for name, why in found.broken.items():
+            self.log.event("stored job cannot be read", id=name, why=why)
+            self._finish(name, Final("failed", 502, now, why="its record is damaged"))
+            counts["given_up"] += 1
+        for name, kept in found.jobs.items():
+            sent = found.sends.get(name, [])
+            what = fate(now, kept, sent, by_name, self.settings.limits.max_attempts)
+            ticket = Ticket(_nobody)
+            ticket.content, ticket.kept = kept, True
+            if isinstance(what, GiveUp):
+                self._finish(name, Final("failed", what.status, now, why=what.why))
+                counts["given_up"] += 1
+                continue
+            cls = self.classes[kept.cls]
+            met = found.met.get(name, set())
+            after = tuple(other for other in kept.after if other not in met)
+            given = Submission(name, cls, kept.due_us, kept.give_up_us, after, kept.slots, what=ticket)
+            if isinstance(what, GoOn):
+                job = self.plan.resume(given)
+                self.room.take(now, job.slots)
+                earlier = tuple(s.earlier() for s in sent)
+                self._offer(job, ticket, min(what.until_us, kept.give_up_us), earlier)
+                counts["again"] += 1
+            elif (unfit := self.plan.submit(now, given, stored=True)) is not None:
+                self._finish(name, _final(unfit, now))
+                counts["given_up"] += 1
+            else:
+                counts["waiting"] += 1
+        self.log.event("stored jobs", us=self.loop.now_us() - now, answers=len(found.answers), **counts)
+
+    def drain(self) -> None:
+        """The node ends: held jobs get their answer at once, kept ones wait on for the next start."""
+        self.draining = True
+        now = self.loop.now_us()
+        held = [job for job in self.plan.jobs.values() if _ticket(job).content is None]
+        self.plan.end_all(now, held)
+        self._end_now()
+        for name in list(self._watchers):
+            self._changed(name)
+
+    def close(self) -> None:
+        if self.store is not None:
+            self.store.close()
+
+    # ------------------------------------------------------------ the task
+
+    def _wake(self) -> None:
+        self._look = True
+        if self._task is not None:
+            self.loop.wake(self._task)
+
+    def _due(self, now: int) -> int | None:
+        """When to step: at most once a tick, and at once where something has changed."""
+        due = now if self._look else self.plan.next_us(now)
+        if self.store is not None:
+            due = self._forget_at if due is None else min(due, self._forget_at)
+        return None if due is None else max(due, self._stepped_us + self.settings.tick_us)
+
+    def _run(self) -> Coroutine[None]:
+        while not self.draining:
+            now = self.loop.now_us()
+            due = self._due(now)
+            if due is None or due > now:
+                yield Wait(until_us=due)
+                continue
+            self._stepped_us, self._look = now, False
+            for action in self.plan.step(now):
+                if isinstance(action, Release):
+                    self._release(action.job)
+                else:
+                    self._end(action, now)
+            if self.store is not None and now >= self._forget_at:
+                self._forget_at = now + FORGET_US
+                self.store.forget(now - self.rules.keep_us, self._forgotten)
+
+    def _release(self, job: Planned) -> None:
+        info = self.settings.classes[job.cls]
+        deadline = min(job.give_up, self.loop.now_us() + info.deadline_us)
+        self._offer(job, _ticket(job), deadline, ())
+
+    def _offer(self, job: Planned, ticket: Ticket, deadline_us: int, earlier: tuple[Earlier, ...]) -> None:
+        """The job becomes a transaction; one that is kept passes the store before each of its attempts."""
+        now = self.loop.now_us()
+        kept = ticket.content
+        if kept is None:
+            assert ticket.job is not None
+            ticket.transaction = self.decider.submit(
+                job.name, ticket.job, ticket.payload, now, deadline_us, ticket.on_change
+            )
+            return
+        payload = self.front.payload(kept.payload)
+        ticket.transaction = self.decider.submit(
+            job.name, kept.job(job.cls), payload, now, deadline_us, _nobody, self._gate, earlier
+        )
+        self._changed(job.name)
+
+    def _end_now(self) -> None:
+        """Give the answers that the plan has ready; what they bring about for others comes with its step."""
+        now = self.loop.now_us()
+        for action in self.plan.ended():
+            self._end(action, now)
+        self._wake()
+
+    def _end(self, action: End, now: int) -> None:
+        """A final answer that the plan gives."""
+        job, ticket = action.job, _ticket(action.job)
+        final = _final(action.why, now)
+        ticket.retry_after_us = action.retry_after_us
+        self.log.event("waiting job ended", id=job.name, cls=job.cls, why=action.why.value)
+        if ticket.content is not None:
+            self._finish(job.name, final, ticket)
+        else:
+            ticket.final = final
+            ticket.on_change()
+
+    # ------------------------------------------------------------ the store's side
+
+    def _stored(self, name: str, ticket: Ticket, result: object) -> None:
+        """The record of a new job is on the disk, or is not to be had there."""
+        assert self.store is not None
+        if isinstance(result, Failed):
+            self.log.event("job not stored", id=name, why=result.why)
+            self.plan.withdraw(self.loop.now_us(), name)
+            self.store.drop(name)
+            ticket.final = Final("refused", 503, self.loop.now_us(), why="the store cannot take it")
+        else:
+            ticket.kept = True
+            self.plan.kept(name)
+            self._wake()
+        ticket.on_change()
+        ticket.on_change = _nobody
+
+    def _gate(self, branch: Branch) -> None:
+        """Before the first byte of an attempt: write that it may run."""
+        assert self.store is not None
+        transaction = branch.transaction
+        zone, cell = self._places.get(branch.worker, (-1, -1))
+        number = len(transaction.earlier) + branch.number
+        attempt = Sent(number, branch.worker, zone, cell, self.loop.now_us())
+        self.store.sent(transaction.name, attempt, lambda result: self._written(branch, result))
+
+    def _written(self, branch: Branch, result: object) -> None:
+        now = self.loop.now_us()
+        transaction = branch.transaction
+        if isinstance(result, Failed):
+            self.log.event("attempt not stored", id=transaction.name, why=result.why)
+        late = now > branch.began_us + GATE_MOST_US or self._window_over(transaction, now)
+        if branch.cancelled or late or isinstance(result, Failed):
+            branch.end(now, Outcome.VOID)
+        else:
+            self.decider.begin(branch, now)
+
+    def _window_over(self, transaction: Transaction, now: int) -> bool:
+        """A repeat would come after its window; the decisions did not know of the gate."""
+        info = self.settings.classes[transaction.job.cls]
+        if info.effect is not Effect.DEDUP:
+            return False
+        firsts = [e.sent_us for e in transaction.earlier] + [b.began_us for b in transaction.branches[:-1]]
+        return bool(firsts) and now >= min(firsts) + info.window_us
+
+    def _finish(self, name: str, final: Final, ticket: Ticket | None = None) -> None:
+        """Write a kept job's one final answer; it is told once it is on the disk."""
+        assert self.store is not None
+        self.answers[name] = final.at_us
+        if ticket is not None:
+            ticket.final = final
+        self.store.answered(name, final, lambda first: self._finished(name, final, bool(first)))
+
+    def _finished(self, name: str, final: Final, first: bool) -> None:
+        if not first:
+            self.log.event("second answer dropped", id=name, status=final.status)
+        self.plan.outcome(self.loop.now_us(), name, final.state == "served")
+        self._changed(name)
+        self._wake()
+
+    def _forgotten(self, names: object) -> None:
+        if isinstance(names, list):
+            for name in names:
+                self.answers.pop(name, None)
+            if names:
+                self._forget_at = 0
+                self._wake()
+
+    def _changed(self, name: str) -> None:
+        for on_change in self._watchers.pop(name, ()):
+            on_change()
+
+    # ------------------------------------------------------------ what the node tells
+
+    def _over(self, transaction: Transaction) -> None:
+        """Any transaction has its answer, or its caller has left."""
+        now, answer = self.loop.now_us(), transaction.answer
+        good = answer is not None and answer.verdict is Verdict.SERVED
+        job = self.plan.jobs.get(transaction.name)
+        if job is None or job.state is not State.RELEASED:
+            if good:
+                self.room.run(transaction.job.cls, now - transaction.received_us)
+            self.plan.outcome(now, transaction.name, good)
+        else:
+            self._back(now, transaction, answer)
+            ticket = _ticket(job)
+            if ticket.content is None:
+                self.plan.outcome(now, transaction.name, good)
+            else:
+                final = self._final_of(answer, now)
+                self._finish(transaction.name, final, ticket)
+                self.log.event(
+                    "kept job over", id=transaction.name, state=final.state, status=final.status,
+                    branches=len(transaction.branches),
+                )
+        if self.plan.jobs:
+            self._wake()
+
+    def _back(self, now: int, transaction: Transaction, answer: Answer | None) -> None:
+        slots = transaction.job.slots
+        if answer is not None and answer.verdict is Verdict.SERVED:
+            self.room.run(transaction.job.cls, now - transaction.received_us)
+            self.room.served(now, slots)
+        elif answer is not None and answer.verdict is Verdict.BUSY:
+            self.room.refused(now, slots)
+        else:
+            self.room.late(now, slots)
+
+    def _final_of(self, answer: Answer | None, now: int) -> Final:
+        if answer is None:
+            return Final("failed", 502, now, why="given up")
+        status = self.front.status(answer)
+        state = {Verdict.SERVED: "served", Verdict.BUSY: "refused"}.get(answer.verdict, "failed")
+        return Final(state, status, now, answer.result)
+
+    def _observe(self, event: Event) -> None:
+        """Reports and lists, as the decisions hear them."""
+        if isinstance(event, CheckResult | AttemptEnded):
+            if event.report is not None:
+                free = event.report.get("free_slots")
+                if isinstance(free, int | float):
+                    self.room.report(self.loop.now_us(), event.worker, float(free))
+                    if self.plan.ready:
+                        self._wake()
+        elif isinstance(event, WorkerList) and event.kind is not ListKind.FAILED:
+            ready = []
+            for entry in event.entries:
+                self._places[entry.worker] = (entry.zone, entry.cell)
+                if entry.state is WorkerState.READY:
+                    ready.append(entry.worker)
+                else:
+                    self.room.unlisted(entry.worker)
+            self.room.listed(ready, event.kind is not ListKind.CHANGES)
+            if event.kind is not ListKind.CHANGES:
+                named = {entry.worker for entry in event.entries}
+                self._places = {w: place for w, place in self._places.items() if w in named}
+
+
+def _ticket(job: Planned) -> Ticket:
+    assert isinstance(job.what, Ticket)
+    return job.what
+
+
+def _final(why: Why, now: int) -> Final:
+    state = "cancelled" if why is Why.CANCELLED else "failed" if why is Why.LATE else "refused"
+    return Final(state, STATUS[why], now, why=why.value)
+
+
+def _shown(job: Planned) -> dict[str, object]:
+    ticket = _ticket(job)
+    released = job.state is State.RELEASED or ticket.final is not None
+    return {
+        "id": job.name, "state": "released" if released else "waiting",
+        "due": job.due / 1e6 if job.due else None, "after": list(job.after), "give_up": job.give_up / 1e6,
+        "status": None, "result": None,
+    }
--- /dev/null
+++ b/rushsaddle/waiting/store.py
@@ -0,0 +1,320 @@
+"""The store of waiting jobs: sqlite in WAL mode, owned by one thread; many calls share one commit and one
+fsync.
+
+Calls are made from the loop's thread and never block: they join a queue, and their ``done`` is called from
+``collect``, in the loop's thread again, once the commit is on the disk (or was not to be had).  ``wake`` is
+called from the store's thread when there is something to collect.
+"""
+
+from __future__ import annotations
+
+import fcntl
+import os
+import sqlite3
+import threading
+import time
+from collections import deque
+from collections.abc import Callable
+from contextlib import suppress
+from pathlib import Path
+
+from .records import BadRecord, Final, Kept, Sent, pack, seal, unpack
+
+FORMAT = 1  # of the tables; a store of a newer one is left alone
+QUEUE_MOST = 4096  # calls that may wait for the disk; what can be refused is refused beyond
+BATCH_MOST = 512  # calls of one commit
+AGAIN_S = 1.0  # what must be written is tried again after this
+FORGET_MOST = 1000  # old answers dropped in one commit
+FILE = "waiting.sqlite"
+TABLES = """
+create table if not exists jobs(name text primary key, content blob not null, seal integer not null);
+create table if not exists sends(name text not null, number integer not null, content blob not null,
+    seal integer not null, primary key(name, number)) without rowid;
+create table if not exists met(name text not null, other text not null, primary key(name, other)) without
+rowid; create table if not exists answers(name text primary key, at_us integer not null, content blob not
+null,
+    seal integer not null);
+create index if not exists answers_at on answers(at_us);
+"""
+
+Work = Callable[[sqlite3.Connection], object]
+
+
+class StoreError(Exception):
+    """Why the store cannot be used, in one line."""
+
+
+class Found:
+    """What a start finds: jobs without an answer, their attempts, what they no longer wait for, and the
+    names of those whose records are not what was written."""
+
+    def __init__(self) -> None:
+        self.jobs: dict[str, Kept] = {}
+        self.sends: dict[str, list[Sent]] = {}
+        self.met: dict[str, set[str]] = {}
+        self.answers: dict[str, tuple[int, bool]] = {}  # when, and whether it was served
+        self.broken: dict[str, str] = {}
+
+
+class Call:
+    __slots__ = ("done", "must", "result", "work")
+
+    def __init__(self, work: Work, done: Callable[[object], None], must: bool) -> None:
+        self.work = work
+        self.done = done
+        self.must = must  # tried again until it is written
+        self.result: object = None
+
+
+class Failed:
+    """The result of a call that could not be written."""
+
+    def __init__(self, why: str) -> None:
+        self.why = why
+
+
+class Store:
+    def __init__(self, folder: Path, wake: Callable[[], None]) -> None:
+        self.folder = folder
+        self.commits = 0
+        self.trouble = ""  # why the last commit failed; empty where it did not
+        self._wake = wake
+        self._queue: deque[Call] = deque()
+        self._there = threading.Condition()
+        self._finished: deque[Call] = deque()
+        self._ending = False
+        self._thread: threading.Thread | None = None
+        self._lock = self._take_lock()
+        try:
+            self._db = self._open()
+        except StoreError:
+            os.close(self._lock)
+            raise
+
+    # ------------------------------------------------------------ opening
+
+    def _take_lock(self) -> int:
+        """One process at a time: two would each send what the other has sent."""
+        try:
+            lock = os.open(self.folder / "lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC | os.O_NOFOLLOW, 0o600)
+        except OSError as error:
+            raise StoreError(f"{self.folder}: {error.strerror}") from None
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            os.close(lock)
+            raise StoreError(f"{self.folder}: in use by another process") from None
+        return lock
+
+    def _open(self) -> sqlite3.Connection:
+        path = self.folder / FILE
+        try:
+            db = sqlite3.connect(path, isolation_level=None, check_same_thread=False, cached_statements=64)
+            (version,) = db.execute("pragma user_version").fetchone()
+            if version > FORMAT:
+                db.close()
+                raise StoreError(f"{path}: written by a newer version: format {version}, not {FORMAT}")
+            db.execute("pragma journal_mode=wal")
+            db.execute("pragma synchronous=full")
+            db.execute("begin immediate")  # fails here, not at the first job, where the folder is read-only
+            for statement in TABLES.split(";"):
+                db.execute(statement)
+            db.execute(f"pragma user_version={FORMAT}")
+            db.execute("commit")
+            folder = os.open(self.folder, os.O_RDONLY)
+            os.fsync(folder)
+            os.close(folder)
+        except (sqlite3.Error, OSError) as error:
+            raise StoreError(f"{path}: {error}") from None
+        return db
+
+    def load(self) -> Found:
+        """All that is stored; before ``start``."""
+        found = Found()
+        db = self._db
+        try:
+            for name, content, was in db.execute("select name, content, seal from jobs order by rowid"):
+                try:
+                    found.jobs[name] = unpack(Kept, "job", name, content, was)
+                except BadRecord as error:
+                    found.broken[name] = str(error)
+            for name, _, content, was in db.execute("select name, number, content, seal from sends"):
+                try:
+                    found.sends.setdefault(name, []).append(unpack(Sent, "send", name, content, was))
+                except BadRecord as error:
+                    found.broken[name] = str(error)
+            for name, other in db.execute("select name, other from met"):
+                found.met.setdefault(name, set()).add(other)
+            for name, at, content, was in db.execute("select name, at_us, content, seal from answers"):
+                try:
+                    found.answers[name] = (at, unpack(Final, "answer", name, content, was).state == "served")
+                except BadRecord:
+                    found.answers[name] = (at, False)
+        except sqlite3.Error as error:
+            raise StoreError(f"{self.folder / FILE}: {error}") from None
+        for name in found.broken:
+            found.jobs.pop(name, None)
+        return found
+
+    def start(self) -> None:
+        self._thread = threading.Thread(target=self._run, name="store", daemon=True)
+        self._thread.start()
+
+    def close(self) -> None:
+        """Write what is queued and end the thread."""
+        if self._thread is not None:
+            with self._there:
+                self._ending = True
+                self._there.notify()
+            self._thread.join()
+        self._db.close()
+        os.close(self._lock)
+
+    # ------------------------------------------------------------ calls
+
+    @property
+    def queued(self) -> int:
+        return len(self._queue)
+
+    @property
+    def full(self) -> bool:
+        return len(self._queue) >= QUEUE_MOST
+
+    def keep(self, job: Kept, done: Callable[[object], None]) -> bool:
+        """Write a new job; False where too much waits for the disk.  ``done`` gets None or Failed."""
+        if self.full:
+            return False
+        content = pack(job)
+        row = (job.name, content, seal("job", job.name, content))
+        self._put(lambda db: db.execute("insert into jobs values(?, ?, ?)", row) and None, done)
+        return True
+
+    def drop(self, name: str) -> None:
+        """A job whose writing failed was refused: should it be on the disk all the same, it must not stay."""
+        self._put(lambda db: db.execute("delete from jobs where name = ?", (name,)) and None, _nothing,
+        must=True)
+
+    def sent(self, name: str, attempt: Sent, done: Callable[[object], None]) -> None:
+        """Write that an attempt may run from now on."""
+        content = pack(attempt)
+        row = (name, attempt.number, content, seal("send", name, content))
+        self._put(lambda db: db.execute("insert into sends values(?, ?, ?, ?)", row) and None, done)
+
+    def met(self, name: str, other: str) -> None:
+        """The job no longer waits for the other one, which was served."""
+        self._put(
+            lambda db: db.execute("insert or ignore into met values(?, ?)", (name, other)) and None, _nothing,
+            must=True,
+        )
+
+    def answered(self, name: str, final: Final, done: Callable[[object], None]) -> None:
+        """Write a final answer; ``done`` gets True, or False where there is one already."""
+        content = pack(final)
+        row = (name, final.at_us, content, seal("answer", name, content))
+
+        def work(db: sqlite3.Connection) -> bool:
+            first = db.execute("insert or ignore into answers values(?, ?, ?, ?)", row).rowcount == 1
+            for table in ("jobs", "sends", "met"):
+                db.execute(f"delete from {table} where name = ?", (name,))
+            return first
+
+        self._put(work, done, must=True)
+
+    def read(self, name: str, done: Callable[[object], None]) -> None:
+        """The final answer of a job: ``done`` gets Final, None where there is none, or Failed."""
+
+        def work(db: sqlite3.Connection) -> Final | Failed | None:
+            row = db.execute("select content, seal from answers where name = ?", (name,)).fetchone()
+            try:
+                return unpack(Final, "answer", name, *row) if row else None
+            except BadRecord as error:
+                return Failed(str(error))
+
+        self._put(work, done)
+
+    def forget(self, before_us: int, done: Callable[[object], None]) -> None:
+        """Drop old answers; ``done`` gets their names, so many at a time."""
+
+        def work(db: sqlite3.Connection) -> list[str]:
+            rows = db.execute(
+                "select name from answers where at_us < ? order by at_us limit ?", (before_us, FORGET_MOST)
+            ).fetchall()
+            db.executemany("delete from answers where name = ?", rows)
+            return [name for (name,) in rows]
+
+        self._put(work, done)
+
+    def _put(self, work: Work, done: Callable[[object], None], must: bool = False) -> None:
+        with self._there:
+            self._queue.append(Call(work, done, must))
+            self._there.notify()
+
+    def collect(self) -> int:
+        """Tell the ends of calls; in the loop's thread."""
+        count = 0
+        while self._finished:
+            call = self._finished.popleft()
+            call.done(call.result)
+            count += 1
+        return count
+
+    # ------------------------------------------------------------ the thread
+
+    def _run(self) -> None:
+        late: list[Call] = []  # what must be written and could not be
+        while True:
+            with self._there:
+                while not self._queue and not self._ending and not late:
+                    self._there.wait()
+                if late and not self._queue and not self._ending:
+                    self._there.wait(AGAIN_S)
+                batch, late = late, []
+                while self._queue and len(batch) < BATCH_MOST:
+                    batch.append(self._queue.popleft())
+                if not batch and self._ending:
+                    return
+            try:
+                self._commit_each(batch)
+                self.trouble = ""
+            except (sqlite3.Error, OSError) as error:
+                self._roll_back()
+                self.trouble = str(error)
+                if not self._ending:
+                    late = [call for call in batch if call.must]
+                    batch = [call for call in batch if not call.must]
+                for call in batch:
+                    call.result = Failed(str(error))
+            self._finished.extend(batch)
+            if batch:
+                self._wake()
+            if late:
+                time.sleep(AGAIN_S / 20)  # a full disk must not be asked without a pause
+
+    def _commit_each(self, batch: list[Call]) -> None:
+        """All in one commit; one that the tables refuse must not take the others with it."""
+        try:
+            self._commit(batch)
+        except sqlite3.IntegrityError:
+            self._roll_back()
+            for call in batch:
+                try:
+                    self._commit([call])
+                except sqlite3.IntegrityError as error:
+                    self._roll_back()
+                    call.result = Failed(str(error))
+
+    def _commit(self, batch: list[Call]) -> None:
+        db = self._db
+        db.execute("begin immediate")
+        for call in batch:
+            call.result = call.work(db)
+        db.execute("commit")
+        self.commits += 1
+
+    def _roll_back(self) -> None:
+        with suppress(sqlite3.Error):
+            self._db.execute("rollback")
+
+
+def _nothing(_: object) -> None:
+    pass
--- a/tansygw/decide.py
+++ b/tansygw/decide.py
@@ -124,7 +124,7 @@
 class Request:
     """One request, its attempts, and what may legally be sent or answered for it."""
 
-    __slots__ = ("arrived", "attempts", "cls", "deadline", "id", "info", "live", "memory", "out",
+    __slots__ = ("arrived", "attempts", "cls", "deadline", "earlier", "id", "info", "live", "memory", "out",
                  "slots", "streaming", "worth")
 
     def __init__(self, event: RequestArrived, info: RequestClass, now: int) -> None:
@@ -136,6 +136,7 @@
         self.slots = _number(event.slots) or 1.0
         self.memory = _number(event.memory) or 0.0
         self.attempts: list[Attempt] = []
+        self.earlier = event.earlier  # attempts of an earlier process, any of which may have run
         self.out = 0  # attempts without an outcome
         self.live = True  # a final answer is owed
         self.streaming = False
@@ -144,36 +145,46 @@
     def may_send(self, worker: Worker, now: int, settings: Settings) -> bool:
         """Rules 1 and 2: may one more attempt be sent, to this worker?"""
         limits = settings.limits
-        attempts = self.attempts
-        if not self.live or self.streaming or now >= self.deadline or len(attempts) >= limits.max_attempts:
+        attempts, earlier = self.attempts, self.earlier
+        if not self.live or self.streaming or now >= self.deadline:
             return False
-        if not attempts:
+        if len(attempts) + len(earlier) >= limits.max_attempts:
+            return False
+        if not attempts and not earlier:
             return True
         if self.out >= (2 if limits.second_copies else 1):
             return False
         info = self.info
         if info.effect is Effect.RETRYABLE:
             return True
-        first = None
+        if earlier and info.effect is not Effect.DEDUP:
+            return False
+        first: int | None = None
+        for e in earlier:
+            first = e.sent_us if first is None else min(first, e.sent_us)
+            if info.group is DedupGroup.ZONE and e.zone != worker.zone:
+                return False
+            if info.group is DedupGroup.CELL and e.cell != worker.cell:
+                return False
         for a in attempts:
             if a.outcome in NEVER_RAN:
                 continue
             if info.effect is not Effect.DEDUP:
                 return False
             if first is None:
-                first = a
+                first = a.sent
             if info.group is DedupGroup.ZONE and a.worker.zone != worker.zone:
                 return False
             if info.group is DedupGroup.CELL and a.worker.cell != worker.cell:
                 return False
-        return first is None or now < first.sent + info.window_us - settings.tick_us
+        return first is None or now < first + info.window_us - settings.tick_us
 
     def may_refuse(self) -> bool:
         """Rule 2: may the client be told that a new try does no harm?"""
         effect = self.info.effect
         if effect is Effect.RETRYABLE or (effect is Effect.DEDUP and self.info.group is DedupGroup.ALL):
             return True
-        return all(a.outcome in NEVER_RAN for a in self.attempts)
+        return not self.earlier and all(a.outcome in NEVER_RAN for a in self.attempts)
 
 
 class Worker:
--- a/tansygw/interface.py
+++ b/tansygw/interface.py
@@ -188,6 +188,16 @@
     version: int = 0
 
 
+@dataclass(slots=True, frozen=True)
+class Earlier:
+    """An attempt that an earlier process sent, with an outcome that nobody knows: it may have run."""
+
+    worker: str
+    zone: int
+    cell: int
+    sent_us: int
+
+
 @dataclass(slots=True)
 class RequestArrived:
     request: int
@@ -199,6 +209,7 @@
     key: str = ""
     repeat: bool = False  # the client marked it as a repeat
     expected_us: int = 0  # expected running time at standard speed; 0: not told
+    earlier: tuple[Earlier, ...] = ()  # its attempts before this process
 
 
 Report: TypeAlias = Mapping[str, float]
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -19,10 +19,10 @@
 BROKEN_MODULE = """
 import sys
 from tansygw import Dispatcher
-from rushsaddle.__main__ import main
+from rushsaddle.node import serve
 def step(*_): raise RuntimeError("lost count")
 Dispatcher.step = step
-sys.exit(main())
+sys.exit(serve())
 """
 
 
