--- a/rushsaddle/net/caller.py
+++ b/rushsaddle/net/caller.py
@@ -65,13 +65,13 @@
 
     longest_us: int
 
-    def claims(self, headers: Mapping[bytes, bytes]) -> bool: ...
+    def wish(self, headers: Mapping[bytes, bytes]) -> Any: ...
 
     def known(self, name: str) -> bool: ...
 
     def job(
-        self, leg: Leg, headers: Mapping[bytes, bytes], job: Job, payload: Request, received_us: int,
-        wait_us: int | None, limit_us: int,
+        self, leg: Leg, wish: Any, job: Job, payload: Request, received_us: int, wait_us: int | None,
+        limit_us: int,
     ) -> Coroutine[bool]: ...
 
     def resource(
@@ -261,8 +261,8 @@
             raise BadRequest(411, "a length is needed")
         if length is not None and int(length) > BODY_MOST:
             raise BadRequest(413, "too long a body")
-        claimed = desk is not None and desk.claims(headers)
-        longest_s = desk.longest_us / 1e6 if desk is not None and claimed else TIMEOUT_MOST
+        wish = desk.wish(headers) if desk is not None else None
+        longest_s = desk.longest_us / 1e6 if desk is not None and wish is not None else TIMEOUT_MOST
         job, wait_us = self._job(headers, cls, longest_s)
         body = yield from self._body(stream, until_us)
         received = self.loop.now_us()
@@ -271,8 +271,8 @@
             raise BadRequest(409, "X-Request-ID: the id of an open request", unread=False)
         payload = Request(name, head.method, head.target, end_to_end(head.headers.raw_items()), body)
         leg.proven = True
-        if desk is not None and claimed:
-            return (yield from desk.job(leg, headers, job, payload, received, wait_us, cls.deadline_us))
+        if desk is not None and wish is not None:
+            return (yield from desk.job(leg, wish, job, payload, received, wait_us, cls.deadline_us))
         wait_us = cls.deadline_us if wait_us is None else wait_us
         transaction = self.decider.submit(
             name, job, payload, received, received + wait_us, lambda: self.wake(leg)
--- a/rushsaddle/net/desk.py
+++ b/rushsaddle/net/desk.py
@@ -19,7 +19,7 @@
 from ..waiting.store import Failed
 from .caller import HANGUP, Callers, Leg
 from .http import BadRequest, Header, Request
-from .jobs import asks_to_wait, job_name, location, packed, prefer, retry_after, shown, wish
+from .jobs import Wish, job_name, location, packed, prefer, read_wish, retry_after, shown
 
 OURS = frozenset((b"x-not-before", b"x-after", b"prefer"))  # no next hop is to wait once more
 JSON = (b"Content-Type", b"application/json")
@@ -36,8 +36,9 @@
         self.longest_us = longest_us
         self.legs_share = legs_share
 
-    def claims(self, headers: Mapping[bytes, bytes]) -> bool:
-        return asks_to_wait(headers)
+    def wish(self, headers: Mapping[bytes, bytes]) -> Wish | None:
+        """What a request that is to wait asks for, before its body is read; None for all others."""
+        return read_wish(headers)
 
     def known(self, name: str) -> bool:
         return self.waiting.knows(name)
@@ -45,11 +46,10 @@
     # ------------------------------------------------------------ taking jobs
 
     def job(
-        self, leg: Leg, headers: Mapping[bytes, bytes], job: Job, payload: Request, received_us: int,
-        wait_us: int | None, limit_us: int,
+        self, leg: Leg, asked: Wish, job: Job, payload: Request, received_us: int, wait_us: int | None,
+        limit_us: int,
     ) -> Coroutine[bool]:
         """One request that is to wait; True where its leg may carry another."""
-        asked = wish(headers)
         payload.headers = [(n, v) for n, v in payload.headers if n.lower() not in OURS]
         latest = received_us + self.longest_us
         if wait_us is not None:
--- a/rushsaddle/net/jobs.py
+++ b/rushsaddle/net/jobs.py
@@ -51,15 +51,8 @@
     return Prefer(respond_async, wait_s)
 
 
-def asks_to_wait(headers: Mapping[bytes, bytes]) -> bool:
-    """Whether a request is for the waiting part; raises BadRequest."""
-    if b"x-not-before" in headers or b"x-after" in headers:
-        return True
-    return b"prefer" in headers and prefer(headers[b"prefer"]).respond_async
-
-
-def wish(headers: Mapping[bytes, bytes]) -> Wish:
-    """What a request that is to wait asks for; raises BadRequest."""
+def read_wish(headers: Mapping[bytes, bytes]) -> Wish | None:
+    """What a request asks for, or None where it does not ask to wait; raises BadRequest."""
     due_us = 0
     after: list[str] = []
     if b"x-not-before" in headers:
@@ -68,11 +61,13 @@
         for item in headers[b"x-after"].split(b","):
             name = item.strip()
             if not ID.fullmatch(name):
-                raise BadRequest(400, "X-After: not an id", unread=False)
+                raise BadRequest(400, "X-After: not an id")
             after.append(name.decode("ascii"))
         if len(after) > AFTER_MOST:
-            raise BadRequest(400, f"X-After: more than {AFTER_MOST} ids", unread=False)
+            raise BadRequest(400, f"X-After: more than {AFTER_MOST} ids")
     later = prefer(headers[b"prefer"]).respond_async if b"prefer" in headers else False
+    if not later and not after and b"x-not-before" not in headers:
+        return None
     return Wish(due_us, tuple(after), later)
 
 
--- a/tests/play.py
+++ b/tests/play.py
@@ -7,10 +7,12 @@
     c sends, c gets                                   the bytes follow in lines that begin with ``|``
     c closes | c resets | c sees the end | h1 stops | h1 fills
     config moves to discovery2 | config names KEY JSON | config breaks
-    pause 0.5 | signal TERM | node ends 0 | node says TEXT
+    pause 0.5 | signal TERM | node ends 0 | node says TEXT | node dies | node starts
+    set operator waiting.store "{folder}"             a setting of the operator, by the environment
 
 The lines of a block are joined by CRLF; escapes such as ``\\n`` work, and ``{*}`` stands for any
-text within a line.  ``{h1}`` is the address of a next hop, ``{x*9}`` is nine times ``x``.
+text within a line.  ``{h1}`` is the address of a next hop, ``{x*9}`` is nine times ``x``, ``{now+1.5}`` the
+Unix time in 1.5 s, ``{folder}`` a folder that outlives the node.
 """
 
 from __future__ import annotations
@@ -64,6 +66,7 @@
         self.limits = {"sockets": 256}
         self.files = 0  # descriptors that the system gives the node; 0: its usual
         self.hops = ["h1"]
+        self.operator: dict[str, str] = {}
         self.node: subprocess.Popen[bytes] | None = None
         self.told: dict[str, Any] = {}  # the configuration that it started with
         self.port = 0  # of the node, which takes a free one and says which
@@ -86,14 +89,16 @@
         env = {**os.environ, "GW_CONFIG": str(self.folder / "config.json"), "GW_DISCOVERY": discovery}
         for name in ("GW_NAME", "GW_LISTEN"):
             env.pop(name, None)
-        with open(self.folder / "log", "wb") as log:
+        env |= self.operator
+        before = len(self.log()) if (self.folder / "log").exists() else 0
+        with open(self.folder / "log", "ab") as log:
             self.node = subprocess.Popen(
                 [sys.executable, "-m", "rushsaddle"], cwd=ROOT, env=env, stdout=log, stderr=log
             )
         if self.files:
             resource.prlimit(self.node.pid, resource.RLIMIT_NOFILE, (self.files, self.files))
         until = time.monotonic() + PATIENCE
-        while (found := re.search(r'"ready","listen":"127.0.0.1:(\d+)"', self.log())) is None:
+        while (found := re.search(r'"ready","listen":"127.0.0.1:(\d+)"', self.log()[before:])) is None:
             assert self.node.poll() is None and time.monotonic() < until, "the node did not start"
             time.sleep(0.01)
         self.port = int(found[1])
@@ -126,6 +131,12 @@
         match words:
             case ["set", "hops", *names]:
                 self.hops = names
+            case ["set", "operator", name, *value]:
+                section, key = name.split(".")
+                folder = str(self.folder / "kept")
+                os.makedirs(folder, exist_ok=True)
+                text = " ".join(value).replace("{folder}", folder)
+                self.operator[f"RUSHSADDLE_{section}__{key}".upper()] = text
             case ["set", "files", count]:
                 self.files = int(count)
             case ["set", "sockets", count]:
@@ -180,6 +191,11 @@
                 time.sleep(float(seconds))
             case ["signal", name]:
                 self.node.send_signal(getattr(signal, f"SIG{name}"))
+            case ["node", "dies"]:
+                self.node.kill()
+                self.node.wait()
+            case ["node", "starts"]:
+                self.start()
             case ["node", "ends", code]:
                 assert self.node.wait(PATIENCE) == int(code)
             case ["node", "says", *text]:
@@ -193,6 +209,7 @@
     def raw(self, block: str) -> bytes:
         for name, port in self.ports.items():
             block = block.replace(f"{{{name}}}", f"127.0.0.1:{port}")
+        block = re.sub(r"\{now([+-][\d.]+)\}", lambda m: f"{time.time() + float(m[1]):.3f}", block)
         block = re.sub(r"\{(.)\*(\d+)\}", lambda m: m[1] * int(m[2]), block)
         return block.encode("latin-1").decode("unicode_escape").encode("latin-1")
 
--- /dev/null
+++ b/tests/waiting/test_plan.py
@@ -0,0 +1,347 @@
+"""The plan against an independent count: one end for each job, in time, and the bound on overtaking."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from random import Random
+
+import pytest
+from hypothesis import Phase, given
+from hypothesis import settings as run_settings
+from hypothesis import strategies as st
+
+from rushsaddle.waiting.plan import OVERTAKE_MOST, Action, End, Plan, Release, State, Submission, Why
+from rushsaddle.waiting.room import Room
+
+S = 1_000_000
+PHASES = (Phase.explicit, Phase.generate)
+
+
+class Tokens(Room):
+    """Room that the test deals out."""
+
+    def __init__(self) -> None:
+        super().__init__([100_000.0, 600_000.0], 0.0, 1)
+        self.tokens = 0.0
+        self.seen = 0.0
+
+    def fits(self, now: int, slots: float) -> bool:
+        return self.tokens >= slots
+
+    def take(self, now: int, slots: float) -> None:
+        self.tokens -= slots
+
+    def best(self, now: int) -> float:
+        return self.seen
+
+
+def plan(most: int = 1000, back_us: int = 0, tokens: float = 0.0, paced: bool = True) -> tuple[Plan, Tokens]:
+    room = Tokens()
+    room.tokens = tokens
+    return Plan(2, room, most, 600 * S, 10_000, back_us, paced), room
+
+
+def submit(p: Plan, now: int, name: str, due: int = 0, give_up: int = 100 * S, after: tuple[str, ...] = (),
+           cls: int = 0, **more: float) -> Why | None:
+    return p.submit(now, Submission(name, cls, due, give_up, after, **more))  # type: ignore[arg-type]
+
+
+def names(actions: list[Action], kind: type[Action]) -> list[str]:
+    return [a.job.name for a in actions if isinstance(a, kind)]
+
+
+def ends(actions: list[Action]) -> dict[str, Why]:
+    return {a.job.name: a.why for a in actions if isinstance(a, End)}
+
+
+def test_a_job_waits_for_its_time_and_its_room() -> None:
+    p, room = plan()
+    assert submit(p, 0, "a", due=5 * S) is None
+    assert (p.next_us(0), p.step(4 * S)) == (5 * S, [])
+    assert p.step(5 * S) == []  # it is ready, but there is no room
+    room.tokens = 1
+    assert names(p.step(5 * S + 1), Release) == ["a"]
+    p.outcome(6 * S, "a", True)
+    assert not p.jobs and p.next_us(200 * S) in (None, 100 * S)
+
+
+@pytest.mark.parametrize("how", ["failed", "cancelled", "left by its caller", "late"])
+def test_what_waits_for_a_job_that_ended_otherwise_is_told_at_once(how: str) -> None:
+    p, _ = plan()
+    submit(p, 0, "a", due=5 * S, give_up=6 * S)
+    submit(p, 0, "b", after=("a",))
+    submit(p, 0, "c", after=("b",))
+    if how == "failed":
+        p.outcome(S, "a", False)
+    elif how == "cancelled":
+        assert p.cancel(S, "a")
+    elif how == "left by its caller":
+        assert p.withdraw(S, "a")
+    now = 6 * S if how == "late" else S
+    told = ends(p.step(now) + p.step(now) + p.step(now))
+    told.pop("a", None)
+    assert told == {"b": Why.UNMET, "c": Why.UNMET}
+    assert submit(p, now, "d", after=("a",)) is Why.UNMET  # also one that comes later
+
+
+def test_outcomes_count_whether_they_come_before_in_or_after_the_tick_of_arrival() -> None:
+    p, _ = plan(tokens=10)
+    p.outcome(0, "before", True)
+    submit(p, 0, "x", after=("before",))
+    submit(p, 0, "y", after=("same",))
+    p.outcome(0, "same", True)
+    submit(p, 0, "z", after=("later", "later"))
+    assert names(p.step(0), Release) == ["x", "y"]
+    p.outcome(S, "later", True)
+    assert names(p.step(S), Release) == ["z"]
+
+
+def test_outcomes_are_forgotten_after_their_time_and_beyond_their_number() -> None:
+    p = Plan(1, Tokens(), 1000, 10 * S, 3, 0)
+    for n in range(5):
+        p.outcome(n * S, f"j{n}", False)
+    assert len(p.outcomes) == 3
+    assert submit(p, 5 * S, "x", after=("j4",)) is Why.UNMET
+    assert submit(p, 5 * S, "y", after=("j0",)) is None  # unknown by now: it waits, but not for ever
+    assert submit(p, 15 * S, "z", after=("j4",)) is None
+    assert ends(p.step(100 * S)) == {"y": Why.LATE, "z": Why.LATE}
+
+
+def test_circles_are_found_when_they_close() -> None:
+    p, _ = plan()
+    assert submit(p, 0, "self", after=("self",)) is Why.NEVER
+    assert submit(p, 0, "a", after=("b",)) is None
+    assert submit(p, 0, "b", after=("a",)) is Why.NEVER  # a after b after a
+    for n in range(500):
+        assert submit(p, 0, f"n{n}", after=(f"n{n + 1}",)) is None
+    assert submit(p, 0, "n500", after=("n250",)) is Why.NEVER
+    assert submit(p, 0, "n500", after=("z",)) is None
+
+
+def test_a_search_for_a_circle_is_bounded() -> None:
+    p, _ = plan(most=50_000)
+    for n in range(10_000):
+        submit(p, 0, f"u{n}", after=(f"u{n + 1}",))
+        submit(p, 0, f"d{n}", after=(f"d{n + 1}",))
+    assert submit(p, 0, "u10000", after=("d0",)) is Why.FULL  # told to come back rather than stop the loop
+
+
+def test_chains_and_fans_of_thousands_need_no_recursion() -> None:
+    p, _ = plan(most=50_000)
+    for n in range(5_000):
+        submit(p, 0, f"c{n + 1}", after=(f"c{n}",))
+        submit(p, 0, f"f{n}", after=("c0",))
+    p.outcome(0, "c0", False)
+    told: dict[str, Why] = {}
+    steps = 0
+    while p.next_us(0) == 0:
+        one = ends(p.step(0))
+        assert len(one) <= 2_048  # bounded work in a step
+        told |= one
+        steps += 1
+    assert len(told) == 10_000 and set(told.values()) == {Why.UNMET} and not p.jobs
+
+
+def test_refusals_at_arrival() -> None:
+    p, _ = plan(most=1, back_us=2 * S)
+    assert submit(p, 0, "a", due=5 * S, give_up=5 * S) is Why.NEVER
+    assert submit(p, 0, "a", due=0, give_up=0) is Why.NEVER
+    assert submit(p, 5 * S, "a", give_up=4 * S) is Why.LATE
+    assert submit(p, 0, "a") is None
+    assert submit(p, 0, "b") is Why.FULL
+    p.most = 0  # lowered under what waits: that stays
+    assert p.step(0) == [] and "a" in p.jobs
+
+
+def test_a_time_in_the_past_means_now_and_one_just_before_the_end_is_ended_once() -> None:
+    p, _ = plan(tokens=5)
+    submit(p, 50 * S, "past", due=S, give_up=60 * S)
+    submit(p, 50 * S, "edge", due=52 * S, give_up=52 * S + 2_000)
+    assert names(p.step(50 * S), Release) == ["past"]
+    assert ends(p.step(52 * S)) == {"edge": Why.HOPELESS}  # 2 ms are no time for a job of 100 ms
+    assert p.step(53 * S) == [] and "edge" not in p.jobs
+
+
+def test_a_batch_is_not_starved_by_small_jobs_and_takes_two_slots() -> None:
+    p, room = plan(most=10_000)
+    submit(p, 0, "batch", give_up=200 * S, cls=1, slots=2.0)
+    order: list[str] = []
+    for n in range(200):  # each small job is due sooner than the batch
+        submit(p, n, f"s{n}", give_up=100 * S)
+        room.tokens += 1
+        order += names(p.step(n), Release)
+    assert "batch" in order and order.index("batch") <= OVERTAKE_MOST
+
+
+def test_a_patient_job_is_passed_as_often_as_stated_and_no_more() -> None:
+    p, room = plan(most=10_000)
+    submit(p, 0, "patient", give_up=10_000 * S)
+    order: list[str] = []
+    for n in range(200):
+        submit(p, n, f"s{n}", give_up=100 * S)
+        room.tokens = 1
+        order += names(p.step(n), Release)
+    assert order.index("patient") == OVERTAKE_MOST
+
+
+def test_what_cannot_be_done_in_time_is_told_long_before_the_end() -> None:
+    p, room = plan(most=10_000, back_us=2 * S)
+    room.seen = 1.0  # one slot: ten jobs a second
+    for n in range(100):
+        submit(p, 0, f"j{n}", give_up=5 * S)
+    told = [a for a in p.step(0) if isinstance(a, End)]
+    assert 45 <= len(told) <= 55 and {a.why for a in told} == {Why.HOPELESS}
+    assert all(a.retry_after_us > 0 for a in told)
+
+
+def test_the_end_of_the_node_answers_what_is_named() -> None:
+    p, _ = plan(back_us=2 * S)
+    submit(p, 0, "a")
+    submit(p, 0, "b")
+    p.end_all(0, [p.jobs["a"]])
+    assert [(e.job.name, e.why) for e in p.ended()] == [("a", Why.ENDING)] and list(p.jobs) == ["b"]
+
+
+def test_timers_of_ended_jobs_are_cleared_away() -> None:
+    p, _ = plan(most=100_000)
+    for n in range(20_000):
+        submit(p, 0, f"j{n}", due=S, after=(f"never{n}",))
+        p.withdraw(0, f"j{n}")
+    assert len(p._timers) < 1_000 and len(p._needed) < 1_000
+
+
+# ---------------------------------------------------------------- random histories
+
+
+@dataclass
+class Seen:
+    due: int
+    give_up: int
+    after: tuple[str, ...]
+    ready_at: int | None = None  # the number of the step in which it could be seen to be ready
+    passed: int = 0
+    over: bool = False
+
+
+@dataclass
+class Referee:
+    """States the promises in its own words; knows nothing of heaps and numbers."""
+
+    plan: Plan
+    room: Tokens
+    now: int = 0
+    steps: int = 0
+    jobs: dict[str, Seen] = field(default_factory=dict)
+    good: dict[str, bool] = field(default_factory=dict)
+    out: list[str] = field(default_factory=list)
+
+    def submit(self, cls: int, due: int, wait: int, after: tuple[str, ...], slots: float) -> None:
+        name = f"j{len(self.jobs)}"
+        seen = Seen(self.now + due if due else 0, self.now + wait, after)
+        self.jobs[name] = seen
+        why = self.plan.submit(self.now, Submission(name, cls, seen.due, seen.give_up, after, slots))
+        if why is not None:
+            seen.over = True
+            failed = any(self.good.get(a) is False for a in after)
+            assert (why is Why.UNMET) == (failed and seen.due < seen.give_up)
+            self.end(name, False)
+
+    def end(self, name: str, good: bool) -> None:
+        self.good[name] = good
+        self.plan.outcome(self.now, name, good)
+
+    def step(self) -> None:
+        self.steps += 1
+        for seen in self.jobs.values():
+            met = all(self.good.get(a) is True for a in seen.after)
+            if not seen.over and seen.ready_at is None and seen.due <= self.now and met:
+                seen.ready_at = self.steps
+        for action in self.plan.step(self.now):
+            seen = self.jobs[action.job.name]
+            assert not seen.over, "two ends"
+            seen.over = True
+            if isinstance(action, End):
+                self.good[action.job.name] = False
+                if action.why is Why.UNMET:
+                    assert any(self.good.get(a) is False for a in seen.after)
+                elif action.why is Why.LATE:
+                    assert self.now >= seen.give_up
+                continue
+            assert seen.ready_at is not None and self.now < seen.give_up
+            self.out.append(action.job.name)
+            for other in self.jobs.values():
+                if not other.over and other.ready_at is not None and other.ready_at < seen.ready_at:
+                    other.passed += 1
+                    assert other.passed <= OVERTAKE_MOST
+
+
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("submit"), st.integers(0, 1), st.sampled_from([0, 0, 0, S, 3 * S]),
+                  st.sampled_from([S // 2, 2 * S, 20 * S, 90 * S]),
+                  st.lists(st.integers(0, 40), max_size=2), st.sampled_from([1.0, 2.0])),
+        st.tuples(st.just("many"), st.integers(5, 40), st.sampled_from([20 * S, 60 * S])),
+        st.tuples(st.just("tick"), st.sampled_from([0, 10_000, S, 4 * S]), st.sampled_from([0, 1, 3, 30])),
+        st.tuples(st.just("outcome"), st.integers(0, 40), st.booleans()),
+        st.tuples(st.just("cancel"), st.integers(0, 80)),
+        st.tuples(st.just("leave"), st.integers(0, 80)),
+    ),
+    max_size=60,
+)
+
+
+@given(STEPS)
+@run_settings(max_examples=150, deadline=None, phases=PHASES, derandomize=True)
+def test_random_histories(history: list[tuple[object, ...]]) -> None:
+    p, room = plan(most=2_000)
+    r = Referee(p, room)
+    for kind, *what in history:
+        if kind == "submit":
+            cls, due, wait, after, slots = what
+            r.submit(cls, due, wait, tuple(f"j{n}" for n in after), slots)  # type: ignore
+        elif kind == "many":
+            for _ in range(what[0]):  # type: ignore
+                r.submit(0, 0, what[1], (), 1.0)  # type: ignore
+        elif kind == "tick":
+            r.now += what[0]  # type: ignore
+            room.tokens = what[1]  # type: ignore
+            r.step()
+        elif kind == "outcome" and r.out:
+            name = r.out.pop(what[0] % len(r.out))  # type: ignore
+            r.end(name, what[1])  # type: ignore
+        elif kind in ("cancel", "leave") and r.jobs:
+            name = f"j{what[0] % len(r.jobs)}"  # type: ignore
+            done = p.cancel(r.now, name) if kind == "cancel" else p.withdraw(r.now, name)
+            assert done == (not r.jobs[name].over), name
+            if done:
+                r.jobs[name].over = True
+                r.good[name] = False
+                assert kind == "leave" or [e.job.name for e in p.ended()] == [name]
+    r.now += 1000 * S
+    r.step()
+    r.step()
+    while p.next_us(r.now) is not None and p._news:
+        r.step()
+    assert all(seen.over for seen in r.jobs.values()), "a job without an end"
+    assert all(job.state is State.RELEASED for job in p.jobs.values())
+
+
+@given(st.integers(0, 2**32), st.integers(1, 6), st.integers(2, 5))
+@run_settings(max_examples=25, deadline=None, phases=PHASES, derandomize=True)
+def test_nobody_is_passed_too_often_in_a_crowd(seed: int, crowd: int, most_tokens: int) -> None:
+    random = Random(seed)
+    p, room = plan(most=5_000)
+    r = Referee(p, room)
+    for _ in range(200):
+        for _ in range(random.randint(0, crowd)):
+            # Some are patient, so that an order by give-up time alone would pass them for ever.
+            wait = random.choice([30, 60, 90, 5_000]) * S + random.randint(0, S)
+            r.submit(random.randint(0, 1), 0, wait, (), random.choice([1.0, 1.0, 2.0]))
+        if r.jobs and random.random() < 0.1:
+            name = f"j{random.randrange(len(r.jobs))}"
+            if p.withdraw(r.now, name):
+                r.jobs[name].over, r.good[name] = True, False
+        r.now += 20_000
+        room.tokens = random.randint(0, most_tokens)
+        r.step()
+    assert r.out
--- /dev/null
+++ b/tests/waiting/test_recover.py
@@ -0,0 +1,92 @@
+"""What a start does with what it finds: the rules hold across restarts, in the decisions' gates too."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import settings as run_settings
+from hypothesis import strategies as st
+
+from rushsaddle.waiting.records import Kept, Sent
+from rushsaddle.waiting.recover import GiveUp, GoOn, WaitOn, fate
+from tansygw.interface import DedupGroup, Earlier, Effect, Fail, Limits, Refuse, RequestArrived, Send
+
+from ..world import MS, SECOND, Drive, request_class, settings
+
+CLASSES = {
+    "text": request_class(Effect.DEDUP, group=DedupGroup.CELL, window_us=7_500 * MS),
+    "batch": request_class(Effect.FRAGILE),
+    "free": request_class(Effect.RETRYABLE),
+}
+
+
+def kept(cls: str, give_up: int = 100 * SECOND) -> Kept:
+    return Kept("j", cls, 0, give_up, (), 1.0, 0.0, 0, "", False, 0, b"")
+
+
+def test_each_fate() -> None:
+    at = [Sent(0, "w0", 0, 3, 10 * SECOND)]
+    now = 12 * SECOND
+    assert fate(now, kept("batch"), [], CLASSES, 4) == WaitOn()
+    assert fate(200 * SECOND, kept("batch"), [], CLASSES, 4) == GiveUp(504, "its time was up")
+    assert isinstance(fate(now, kept("batch"), at, CLASSES, 4), GiveUp)
+    assert fate(now, kept("free"), at, CLASSES, 4) == GoOn(15 * SECOND)
+    # The class has 5 s of its own from its release, which is sooner than its window of 7.5 s.
+    assert fate(now, kept("text"), at, CLASSES, 4) == GoOn(15 * SECOND)
+    assert isinstance(fate(18 * SECOND, kept("text"), at, CLASSES, 4), GiveUp)
+    assert isinstance(fate(now, kept("text"), at * 4, CLASSES, 4), GiveUp)
+    assert isinstance(fate(now, kept("text"), [*at, Sent(1, "w1", 0, 4, 11 * SECOND)], CLASSES, 4), GiveUp)
+    assert isinstance(fate(now, kept("unknown"), [], CLASSES, 4), GiveUp)
+
+
+SENT = st.lists(
+    st.builds(Sent, st.integers(0, 3), st.sampled_from(["w0", "w1", "elsewhere"]), st.integers(0, 1),
+              st.integers(0, 2), st.integers(0, 20).map(lambda s: s * SECOND)),
+    max_size=4,
+)
+
+
+@given(SENT, st.sampled_from(sorted(CLASSES)), st.integers(0, 40), st.integers(1, 4))
+@run_settings(max_examples=400, deadline=None, derandomize=True)
+def test_nothing_goes_on_that_must_not(sent: list[Sent], cls: str, seconds: int, most: int) -> None:
+    now, info = seconds * SECOND, CLASSES[cls]
+    what = fate(now, kept(cls), sent, CLASSES, most)
+    if isinstance(what, WaitOn):
+        assert not sent
+    if isinstance(what, GoOn):
+        assert sent and now < what.until_us and len(sent) < most and info.effect is not Effect.FRAGILE
+        if info.effect is Effect.DEDUP:
+            assert len({s.cell for s in sent}) == 1
+            assert what.until_us <= min(s.at_us for s in sent) + info.window_us
+
+
+@given(
+    st.sampled_from(sorted(CLASSES)), st.integers(0, 2), st.integers(0, 9_000), st.integers(1, 3),
+    st.integers(0, 2**32),
+)
+@run_settings(max_examples=200, deadline=None, derandomize=True)
+def test_the_decisions_gates_count_earlier_attempts(
+    cls: str, cell: int, ago_ms: int, count: int, seed: int
+) -> None:
+    """Whatever this process is told of an earlier one, it sends nothing that the rules forbid."""
+    info = CLASSES[cls]
+    drive = Drive(settings(info, limits=Limits(cancel=True, second_copies=True, max_attempts=4)), 0, seed)
+    drive.names = [f"w{n}" for n in range(6)]
+    for n, name in enumerate(drive.names):
+        drive.change(name, cell=n % 3)
+    drive.now = 100 * SECOND
+    earlier = tuple(Earlier("gone", 0, cell, drive.now - ago_ms * MS) for _ in range(count))
+    actions = drive.step(RequestArrived(1, 0, 5 * SECOND, earlier=earlier))
+    out: list[Send] = []
+    for _ in range(40):
+        sent = [a for a in actions if isinstance(a, Send)]
+        out += sent
+        assert not sent or info.effect is not Effect.FRAGILE
+        if info.effect is not Effect.RETRYABLE:
+            assert not any(isinstance(a, Refuse) for a in actions), "a repeat may do harm"
+            for send in sent:
+                assert int(send.worker[1:]) % 3 == cell
+                assert drive.now < earlier[0].sent_us + info.window_us
+        if any(isinstance(a, Fail | Refuse) for a in actions):
+            break
+        actions = drive.step(after=300 * MS)
+    assert len(out) + count <= 4
