--- /dev/null
+++ b/measure/rig.py
@@ -0,0 +1,173 @@
+"""A node and stand-in senders as processes of their own on free loopback ports, and callers for them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import re
+import resource
+import subprocess
+import sys
+import time
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+PATIENCE = 30.0
+SETTINGS: dict[str, Any] = {
+    "Azs": ["north", "south"], "Kinds": ["box"], "Discovery": "on_request", "TickUs": 2000, "GroupSize": 1,
+    "Limits": {"Cancel": True, "SecondCopies": True, "RetryAfter": True, "MayProbe": True, "MaxAttempts": 4,
+               "MaxRetryAfterUs": 2000000, "ConnectTimeoutUs": 250000, "ConnIdleUs": 60000000},
+    "LoadReport": {"Names": ["x0"], "Via": "pull"},
+    "FamilyInfo": {"ReportX0": "free slots", "ClassStretch": [2.0, 2.0]},
+    "Rules": {"AnswerSlackUs": 8000, "DrainGraceUs": 2000000, "MustAskInUs": 10000000},
+    "Prices": {"Probe": 0.0013},
+    "Services": [
+        {"Name": "single-text", "Effect": "dedup", "Group": "cell", "WindowUs": 7500000, "OnTimeUs": 75000,
+         "HardLimitUs": 5000000, "Worth": 8.0},
+        {"Name": "bulk-batch", "Effect": "fragile", "OnTimeUs": 250000, "HardLimitUs": 10000000,
+         "Worth": 10.0},
+    ],
+}
+
+
+def room_for_descriptors() -> None:
+    _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
+
+
+class Senders:
+    def __init__(self, folder: Path, count: int, slots: int, queue: int = 8, report_s: float = 0.7,
+                 silent: list[dict[str, float]] | None = None) -> None:
+        self.audit = folder / "audit.json"
+        told = {
+            "senders": [{"slots": slots, "speed": 1.0, "cell": n // 3} for n in range(count)], "queue": queue,
+            "report_s": report_s, "audit": str(self.audit), "silent": silent or [],
+        }
+        (folder / "senders.json").write_text(json.dumps(told))
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "measure.standin", str(folder / "senders.json")], stdout=subprocess.PIPE,
+            text=True,
+        )
+        assert self.process.stdout is not None
+        self.discovery = self.process.stdout.readline().strip()
+
+    def stop(self) -> list[list[Any]]:
+        """The audit: [time, id, class, sender, what], in the order of time."""
+        self.process.terminate()
+        self.process.wait(PATIENCE)
+        runs: list[list[Any]] = json.loads(self.audit.read_text())
+        return runs
+
+
+class Node:
+    def __init__(
+        self, folder: Path, discovery: str, operator: Mapping[str, str], sockets: int = 4096
+    ) -> None:
+        self.folder = folder
+        self.operator = operator
+        self.port = 0
+        self.starts = 0
+        (folder / "config.json").write_text(json.dumps({
+            "name": "n0", "listen": "127.0.0.1:0", "seed": "1f", "limits": {"sockets": sockets},
+            "discovery": discovery, "settings": SETTINGS, "known": {"rev": 0, "all": True, "targets": []},
+        }))
+        self.start()
+
+    def start(self) -> float:
+        """Seconds until it was ready."""
+        env = {k: v for k, v in os.environ.items() if not k.startswith(("GW_", "RUSHSADDLE_"))}
+        env |= {"GW_CONFIG": str(self.folder / "config.json"), **self.operator}
+        if self.port:
+            env["GW_LISTEN"] = f"127.0.0.1:{self.port}"
+        self.starts += 1
+        self.log = self.folder / f"log-{self.starts}"
+        began = time.monotonic()
+        with open(self.log, "wb") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "rushsaddle"], env=env, stdout=log, stderr=log
+            )
+        while (found := re.search(r'"ready","listen":"127.0.0.1:(\d+)"', self.log.read_text())) is None:
+            if self.process.poll() is not None or time.monotonic() > began + PATIENCE:
+                raise RuntimeError(f"the node did not start: {self.log.read_text()[-500:]}")
+            time.sleep(0.002)
+        self.port = int(found[1])
+        return time.monotonic() - began
+
+    def events(self, *kinds: str) -> list[dict[str, Any]]:
+        """Lines of the present log, of these kinds."""
+        found = []
+        for line in self.log.read_text().splitlines():
+            if line.startswith("{"):
+                fields = json.loads(line)
+                if fields["event"] in kinds:
+                    found.append(fields)
+        return found
+
+    def cpu_s(self) -> float:
+        """Processor time that it has used so far."""
+        fields = Path(f"/proc/{self.process.pid}/stat").read_text().rsplit(")", 1)[1].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+    def memory_mb(self) -> float:
+        for line in Path(f"/proc/{self.process.pid}/status").read_text().splitlines():
+            if line.startswith("VmRSS"):
+                return int(line.split()[1]) / 1024
+        return 0.0
+
+    def kill(self) -> None:
+        self.process.kill()
+        self.process.wait()
+
+    def stop(self) -> int:
+        self.process.terminate()
+        return self.process.wait(PATIENCE)
+
+
+@dataclass(slots=True)
+class Reply:
+    """``at`` and ``sent`` are Unix seconds; status 0: the connection broke."""
+
+    sent: float
+    at: float
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class Caller:
+    """One connection at a time for each request in flight; kept ones are used again."""
+
+    def __init__(self, port: int) -> None:
+        self.port = port
+        self.idle: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
+
+    async def ask(self, method: str, target: str, headers: Mapping[str, str], body: bytes = b"") -> Reply:
+        lines = [f"{method} {target} HTTP/1.1", "Host: n0"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        if method == "POST":
+            lines.append(f"Content-Length: {len(body)}")
+        raw = "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+        sent = time.time()
+        writer = None
+        try:
+            if self.idle:
+                reader, writer = self.idle.pop()
+            else:
+                reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+            writer.write(raw)
+            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+            fields = {k.lower(): v for k, v in (line.split(": ", 1) for line in head[1:] if line)}
+            answer = await reader.readexactly(int(fields.get("content-length", "0")))
+            at = time.time()
+            if fields.get("connection") == "close":
+                writer.close()
+            else:
+                self.idle.append((reader, writer))
+            return Reply(sent, at, int(head[0].split(" ")[1]), fields, answer)
+        except (OSError, asyncio.IncompleteReadError):
+            if writer is not None:
+                writer.close()
+            return Reply(sent, time.time(), 0, {}, b"")
--- /dev/null
+++ b/measure/standin.py
@@ -0,0 +1,219 @@
+"""Stand-in senders and their discovery in one process, from the platform's public protocol, with an audit.
+
+    python -m measure.standin FILE
+
+FILE is JSON: ``senders`` ([{"slots", "speed", "cell", "zone"}]), ``queue``, ``report_s``, ``silent``
+([{"sender", "from_s", "to_s"}], from the first request).  The first line of output names discovery; at
+SIGTERM the audit is written as JSON to ``audit`` of FILE.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+import math
+import signal
+import sys
+import time
+from collections import deque
+from pathlib import Path
+from statistics import NormalDist
+from typing import Any
+
+MEAN_S = {"single-text": 0.15, "bulk-batch": 0.8}
+SIGMA = 0.5  # of the logarithm of running times
+
+
+def running_s(name: str, cls: str) -> float:
+    """A job's own running time at speed 1: the same in every run, whoever runs it."""
+    draw = int.from_bytes(hashlib.blake2b(name.encode(), digest_size=8).digest(), "big") / 2**64
+    z = NormalDist().inv_cdf(min(max(draw, 1e-9), 1 - 1e-9))
+    return MEAN_S[cls] * math.exp(SIGMA * z - SIGMA * SIGMA / 2)
+
+
+class Work:
+    def __init__(self, name: str, cls: str, slots: float, leg: Leg) -> None:
+        self.name = name
+        self.cls = cls
+        self.slots = slots
+        self.leg = leg
+        self.timer: asyncio.TimerHandle | None = None
+
+
+class World:
+    """What all senders share: the clock, the audit, the troubles."""
+
+    def __init__(self, told: dict[str, Any]) -> None:
+        self.told = told
+        self.began: float | None = None
+        self.runs: list[tuple[float, str, str, int, str]] = []  # time, id, class, sender, what
+        self.legs = 0
+
+    def note(self, name: str, cls: str, sender: int, what: str) -> None:
+        self.runs.append((time.time(), name, cls, sender, what))
+
+    def silent(self, sender: int) -> bool:
+        now = time.monotonic()
+        if self.began is None:
+            return False
+        return any(
+            t["sender"] == sender and t["from_s"] <= now - self.began < t["to_s"]
+            for t in self.told.get("silent", [])
+        )
+
+
+class Sender:
+    def __init__(self, world: World, number: int, told: dict[str, Any]) -> None:
+        self.world = world
+        self.number = number
+        self.slots = float(told["slots"])
+        self.speed = float(told.get("speed", 1.0))
+        self.free = self.slots
+        self.queue: deque[Work] = deque()
+        self.figure = self.slots
+        self.stuck: list[Work] = []
+
+    def take(self, work: Work) -> None:
+        if len(self.queue) >= self.world.told["queue"]:
+            self.world.note(work.name, work.cls, self.number, "turned away")
+            work.leg.answer(503, b"", b"X-Not-Processed: 1\r\n")
+            return
+        self.world.note(work.name, work.cls, self.number, "taken")
+        work.leg.begin()
+        self.queue.append(work)
+        self.run()
+
+    def run(self) -> None:
+        loop = asyncio.get_running_loop()
+        while self.queue and self.queue[0].slots <= self.free:
+            work = self.queue.popleft()
+            self.free -= work.slots
+            self.world.note(work.name, work.cls, self.number, "began")
+            takes = running_s(work.name, work.cls) / self.speed
+            work.timer = loop.call_later(takes, self.done, work)
+
+    def done(self, work: Work) -> None:
+        if self.world.silent(self.number):
+            work.timer = asyncio.get_running_loop().call_later(0.1, self.done, work)
+            return
+        work.timer = None
+        self.free += work.slots
+        self.world.note(work.name, work.cls, self.number, "done")
+        work.leg.finish({"id": work.name, "state": "done", "result": f"ran {work.name}"})
+        self.run()
+
+    def drop(self, work: Work) -> None:
+        """Its caller has left: work stops."""
+        if work.timer is not None:
+            work.timer.cancel()
+            work.timer = None
+            self.free += work.slots
+        elif work in self.queue:
+            self.queue.remove(work)
+        self.world.note(work.name, work.cls, self.number, "dropped")
+        self.run()
+
+    async def report(self) -> None:
+        while True:
+            await asyncio.sleep(self.world.told["report_s"])
+            self.figure = max(0.0, self.free - sum(w.slots for w in self.queue))
+
+
+class Leg(asyncio.Protocol):
+    """One connection from a node to a sender."""
+
+    def __init__(self, sender: Sender) -> None:
+        self.sender = sender
+        self.data = b""
+        self.work: Work | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self.work is not None:
+            self.sender.drop(self.work)
+            self.work = None
+
+    def data_received(self, data: bytes) -> None:
+        self.data += data
+        while self.work is None and b"\r\n\r\n" in self.data:
+            head, _, rest = self.data.partition(b"\r\n\r\n")
+            lines = head.split(b"\r\n")
+            fields = dict(line.lower().split(b": ", 1) for line in lines[1:])
+            length = int(fields.get(b"content-length", b"0"))
+            if len(rest) < length:
+                return
+            self.data = rest[length:]
+            method, path, _ = lines[0].split(b" ")
+            if method == b"GET":
+                self.answer(200, json.dumps({"x0": self.sender.figure}).encode())
+                continue
+            world = self.sender.world
+            if world.began is None:
+                world.began = time.monotonic()
+            attrs = dict(a.split(b"=") for a in fields.get(b"x-attrs", b"").split(b",") if a)
+            self.work = Work(
+                fields[b"x-request-id"].decode(), path[1:].partition(b"/")[0].decode(),
+                float(attrs.get(b"slots", b"1")), self,
+            )
+            self.sender.take(self.work)
+
+    def answer(self, status: int, body: bytes, more: bytes = b"") -> None:
+        self.work = None
+        self.transport.write(
+            b"HTTP/1.1 %d x\r\n%sContent-Length: %d\r\n\r\n%s" % (status, more, len(body), body)
+        )
+
+    def begin(self) -> None:
+        self.transport.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+
+    def finish(self, fields: dict[str, Any]) -> None:
+        self.work = None
+        line = json.dumps(fields).encode() + b"\n"
+        self.transport.write(b"%x\r\n%s\r\n0\r\n\r\n" % (len(line), line))
+
+
+async def discover(targets: list[dict[str, Any]], reader: asyncio.StreamReader, writer: Any) -> None:
+    try:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        line = json.dumps({"rev": 1, "all": True, "targets": targets}).encode() + b"\n"
+        while True:
+            writer.write(b"%x\r\n%s\r\n" % (len(line), line))
+            await writer.drain()
+            await asyncio.sleep(2)
+            line = b"\n"
+    except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+        pass  # the node has left, or this process ends
+    finally:
+        writer.close()
+
+
+async def main() -> None:
+    told = json.loads(Path(sys.argv[1]).read_text())
+    world, loop = World(told), asyncio.get_running_loop()
+    targets, tasks = [], []
+    for n, entry in enumerate(told["senders"]):
+        sender = Sender(world, n, entry)
+        server = await loop.create_server(lambda s=sender: Leg(s), "127.0.0.1", 0, backlog=512)  # type: ignore
+        host, port = server.sockets[0].getsockname()
+        tasks.append(loop.create_task(sender.report()))
+        targets.append({
+            "uid": f"s-{n}", "endpoint": f"{host}:{port}", "az": entry.get("zone", "north"), "model": "box",
+            "pod_group": entry.get("cell", n // 3), "state": "ready", "capacity_hint": 1.0, "boot_ms": 0,
+        })
+    finder = await asyncio.start_server(lambda r, w: discover(targets, r, w), "127.0.0.1", 0)
+    host, port = finder.sockets[0].getsockname()[:2]
+    print(f"{host}:{port}", flush=True)
+    stop = asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    await stop.wait()
+    with open(told["audit"], "w") as file:
+        json.dump(world.runs, file)
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
--- a/rushsaddle/waiting/service.py
+++ b/rushsaddle/waiting/service.py
@@ -306,8 +306,10 @@
                 self.store.forget(now - self.rules.keep_us, self._forgotten)
 
     def _release(self, job: Planned) -> None:
-        info = self.settings.classes[job.cls]
-        deadline = min(job.give_up, self.loop.now_us() + info.deadline_us)
+        info, now = self.settings.classes[job.cls], self.loop.now_us()
+        deadline = min(job.give_up, now + info.deadline_us)
+        waited_ms = (now - job.due) // 1000 if job.due else None
+        self.log.event("job released", id=job.name, cls=job.cls, number=job.number, since_due_ms=waited_ms)
         self._offer(job, _ticket(job), deadline, ())
 
     def _offer(self, job: Planned, ticket: Ticket, deadline_us: int, earlier: tuple[Earlier, ...]) -> None:
