--- a/rushsaddle/waiting/room.py
+++ b/rushsaddle/waiting/room.py
@@ -150,6 +150,14 @@
             self._best, self._best_at = seen, now
         return self._best
 
+    def figures(self) -> dict[str, float]:
+        """For people: slots in all and free as reported, held by others, taken, and the bound."""
+        figures = {
+            "total": self._total, "free": self._free, "others": self._others, "out": self.out,
+            "bound": self.bound, "fill": self._fill,
+        }
+        return {name: round(value, 1) for name, value in figures.items()}
+
     def _cap(self, now: int) -> float:
         if now - self._swept_at > SWEEP_US:
             self._sweep(now)
@@ -172,6 +180,7 @@
     def _back(self, now: int, slots: float) -> None:
         self._note(now)
         self.out = max(0.0, self.out - slots)
+        self._fill += slots  # what we give back is ours to take again before reports tell of it
 
     def _loss(self, now: int, slots: float, keep: float) -> None:
         """A crowd that was released together is refused together: one loss in the time of a round."""
--- a/rushsaddle/waiting/service.py
+++ b/rushsaddle/waiting/service.py
@@ -206,7 +206,7 @@
         store = self.store
         return {
             "jobs": len(self.plan.jobs), "ready": self.plan.ready, "answers": len(self.answers),
-            "bound": round(self.room.bound, 1), "out": self.room.out,
+            "room": self.room.figures(),
             "store": None if store is None else {"queued": store.queued, "trouble": store.trouble},
         }
 
