Kept jobs leave their bodies to the store; ended jobs wake nobody

Cause: 100,000 kept jobs with bodies of 64 KB would need 6.4 GB, and 1,340 bytes each with small ones; timers of ended jobs woke the plan once more for each. Change: content and payload have a seal each, the payload is read when the job goes; dead timers are dropped when the next time is asked.

--- a/rushsaddle/node.py
+++ b/rushsaddle/node.py
@@ -30,6 +30,7 @@
 
 SPARE = 40  # descriptors for the loop, the log, discovery, and sockets on their way out
 DRAIN_LOOK_US = 20_000
+GC = (50_000, 20, 100)  # few cycles are made; collecting often costs more than it frees
 
 
 TAKEN = ("discovery", "sockets")  # what a new configuration changes without a restart
@@ -182,7 +183,7 @@
         print(f"rushsaddle: {error}", file=sys.stderr)
         return 2
     gc.freeze()
-    gc.set_threshold(50_000, 20, 100)  # few cycles are made; collecting often costs more than it frees
+    gc.set_threshold(*GC)
     try:
         return node.run(signals)
     except OSError as error:
--- a/rushsaddle/waiting/plan.py
+++ b/rushsaddle/waiting/plan.py
@@ -11,7 +11,7 @@
 
 import heapq
 from collections import deque
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from enum import Enum, StrEnum
 
@@ -248,12 +248,15 @@
         """When to step next, as far as time alone tells; room that comes back is told by reports."""
         if self._news or self._ends:
             return now
-        times = []
-        if self._timers:
-            times.append(self._timers[0][0])
-        if self.ready:
-            times.append(max(now, self._review_at) if self.paced else now)
-        return min(times, default=None)
+        timers = self._timers
+        while timers and timers[0][2].state not in LIVE:  # nobody is to be woken for a job that is over
+            heapq.heappop(timers)
+            self._dead -= 1
+        due = timers[0][0] if timers else None
+        if not self.ready:
+            return due
+        look = max(now, self._review_at) if self.paced else now
+        return look if due is None else min(due, look)
 
     def step(self, now: int) -> list[Action]:
         """What is to be done at this moment, in order.  Work is bounded; ``next_us`` tells of a rest."""
@@ -263,10 +266,8 @@
             self._review_at = now + REVIEW_US
             self._review(now)
         actions: list[Action] = list(self.ended())
-        for _ in range(STEP_MOST):
+        for _ in range(min(STEP_MOST, self.ready)):
             job = self._choose()
-            if job is None:
-                break
             if self.paced and not self.room.fits(now, job.slots):
                 break
             self.room.take(now, job.slots)
@@ -377,29 +378,28 @@
 
     # ------------------------------------------------------------ order and hope
 
-    def _heads(self) -> Iterator[tuple[int, int, Job]]:
-        for heap in self._heaps:
-            while heap and heap[0][2].state is not State.READY:
-                heapq.heappop(heap)
-            if heap:
-                yield heap[0]
-
-    def _choose(self) -> Job | None:
+    def _choose(self) -> Job:
         """Who goes next: the oldest where it was passed often enough, a class that was given too little, else
-        the earliest give-up time."""
+        the earliest give-up time.  There is a ready job."""
         order = self._order
-        while order and order[0].state is not State.READY:
+        while order[0].state is not State.READY:
             order.popleft()
-        if not order:
-            return None
-        if self._departed - order[0].number >= OVERTAKE_MOST:
-            return order[0]
-        heads = list(self._heads())
-        first = min(heads)[2]
-        least = min(heads, key=lambda head: self._given[head[2].cls])[2]
-        if self._given[least.cls] + LAG_MOST_US < self._given[first.cls]:
-            return least
-        return first
+        oldest = order[0]
+        if self._departed - oldest.number >= OVERTAKE_MOST:
+            return oldest
+        first = least = None
+        for cls, heap in enumerate(self._heaps):
+            while heap and heap[0][2].state is not State.READY:
+                heapq.heappop(heap)
+            if heap:
+                if first is None or heap[0] < first:
+                    first = heap[0]
+                if least is None or self._given[cls] < self._given[least[2].cls]:
+                    least = heap[0]
+        assert first is not None and least is not None
+        if self._given[least[2].cls] + LAG_MOST_US < self._given[first[2].cls]:
+            return least[2]
+        return first[2]
 
     def _review(self, now: int) -> None:
         """End what cannot be done in time even at the best rate that was seen, in the order of give-up times.
--- a/rushsaddle/waiting/records.py
+++ b/rushsaddle/waiting/records.py
@@ -19,8 +19,8 @@
 
 
 class Kept(msgspec.Struct, frozen=True, array_like=True, gc=False):
-    """A job as it was taken.  ``cls`` is the class's name: numbers change with the settings.  Times are
-    microseconds since the Unix epoch; ``payload`` is in the words of the front that took it."""
+    """A job as it was taken, but for its payload.  ``cls`` is the class's name: numbers change with the
+    settings.  Times are microseconds since the Unix epoch."""
 
     name: str
     cls: str
@@ -33,7 +33,6 @@
     key: str
     repeat: bool
     expected_us: int
-    payload: bytes
 
     def job(self, cls: int) -> Job:
         return Job(cls, self.slots, self.memory, self.tenant, self.key, self.repeat, self.expected_us)
@@ -67,15 +66,20 @@
     return crc32c.crc32c(content, crc32c.crc32c(f"{kind}\0{name}\0".encode()))
 
 
+def checked(label: str, name: str, content: bytes, seal_was: int) -> bytes:
+    """The content; raises BadRecord where a byte of it has changed."""
+    if seal(label, name, content) != seal_was:
+        raise BadRecord(f"{label} of {name!r}: wrong checksum")
+    return content
+
+
 def pack(record: Kept | Sent | Final) -> bytes:
     return msgspec.msgpack.encode(record)
 
 
 def unpack(kind: type[R], label: str, name: str, content: bytes, seal_was: int) -> R:
     """The record; raises BadRecord where a byte of it has changed."""
-    if seal(label, name, content) != seal_was:
-        raise BadRecord(f"{label} of {name!r}: wrong checksum")
     try:
-        return msgspec.msgpack.decode(content, type=kind)
+        return msgspec.msgpack.decode(checked(label, name, content, seal_was), type=kind)
     except msgspec.DecodeError as error:
         raise BadRecord(f"{label} of {name!r}: {error}") from None
--- a/rushsaddle/waiting/service.py
+++ b/rushsaddle/waiting/service.py
@@ -69,14 +69,14 @@
 class Ticket:
     """One waiting job of a front.  ``final`` is its answer; one that was released has ``transaction``."""
 
-    __slots__ = ("content", "final", "job", "kept", "on_change", "payload", "retry_after_us", "transaction")
+    __slots__ = ("final", "job", "kept", "lasts", "on_change", "payload", "retry_after_us", "transaction")
 
-    def __init__(self, on_change: Callable[[], None]) -> None:
+    def __init__(self, on_change: Callable[[], None], lasts: bool) -> None:
         self.on_change = on_change
-        self.job: Job | None = None  # held jobs only: kept ones are read from their content when they go
-        self.payload: object = None
-        self.content: Kept | None = None
+        self.lasts = lasts  # it is for the store, which alone holds its body: that is read when it goes
         self.kept = False  # the store has it
+        self.job: Job | None = None
+        self.payload: object = None
         self.transaction: Transaction | None = None
         self.final: Final | None = None
         self.retry_after_us = 0
@@ -130,7 +130,7 @@
         """Take a job that stays with its caller."""
         if self.draining:
             return Why.ENDING
-        ticket = Ticket(on_change)
+        ticket = Ticket(on_change, lasts=False)
         ticket.job, ticket.payload = job, payload
         why = self.plan.submit(
             self.loop.now_us(), Submission(name, job.cls, due_us, give_up_us, after, job.slots, what=ticket)
@@ -146,17 +146,17 @@
         store = self.store
         if store is None or store.full or len(self.answers) + len(self.plan.jobs) >= self._kept_most:
             return Why.FULL
-        ticket = Ticket(on_change)
-        ticket.content = Kept(
+        ticket = Ticket(on_change, lasts=True)
+        kept = Kept(
             name, self.settings.classes[job.cls].name, due_us, give_up_us, after, job.slots, job.memory,
-            job.tenant, job.key, job.repeat, job.expected_us, packed,
+            job.tenant, job.key, job.repeat, job.expected_us,
         )
         why = self.plan.submit(self.loop.now_us(), Submission(
             name, job.cls, due_us, give_up_us, after, job.slots, unkept=True, what=ticket
         ))
         if why is not None:
             return why
-        store.keep(ticket.content, lambda result: self._stored(name, ticket, result))
+        store.keep(kept, packed, lambda result: self._stored(name, ticket, result))
         return ticket
 
     @property
@@ -237,8 +237,8 @@
         for name, kept in found.jobs.items():
             sent = found.sends.get(name, [])
             what = fate(now, kept, sent, by_name, self.settings.limits.max_attempts)
-            ticket = Ticket(_nobody)
-            ticket.content, ticket.kept = kept, True
+            ticket = Ticket(_nobody, lasts=True)
+            ticket.kept = True
             if isinstance(what, GiveUp):
                 self._finish(name, Final("failed", what.status, now, why=what.why))
                 counts["given_up"] += 1
@@ -251,7 +251,7 @@
                 job = self.plan.resume(given)
                 self.room.take(now, job.slots)
                 earlier = tuple(s.earlier() for s in sent)
-                self._offer(job, ticket, min(what.until_us, kept.give_up_us), earlier)
+                self._fetch(job, ticket, min(what.until_us, kept.give_up_us), earlier)
                 counts["again"] += 1
             elif (unfit := self.plan.submit(now, given, stored=True)) is not None:
                 self._finish(name, _final(unfit, now))
@@ -264,7 +264,7 @@
         """The node ends: held jobs get their answer at once, kept ones wait on for the next start."""
         self.draining = True
         now = self.loop.now_us()
-        held = [job for job in self.plan.jobs.values() if _ticket(job).content is None]
+        held = [job for job in self.plan.jobs.values() if not _ticket(job).lasts]
         self.plan.end_all(now, held)
         self._end_now()
         for name in list(self._watchers):
@@ -310,19 +310,37 @@
         deadline = min(job.give_up, now + info.deadline_us)
         waited_ms = (now - job.due) // 1000 if job.due else None
         self.log.event("job released", id=job.name, cls=job.cls, number=job.number, since_due_ms=waited_ms)
-        self._offer(job, _ticket(job), deadline, ())
+        ticket = _ticket(job)
+        if ticket.lasts:
+            self._fetch(job, ticket, deadline, ())
+            return
+        assert ticket.job is not None
+        ticket.transaction = self.decider.submit(
+            job.name, ticket.job, ticket.payload, now, deadline, ticket.on_change
+        )
 
-    def _offer(self, job: Planned, ticket: Ticket, deadline_us: int, earlier: tuple[Earlier, ...]) -> None:
-        """The job becomes a transaction; one that is kept passes the store before each of its attempts."""
+    def _fetch(
+        self, job: Planned, ticket: Ticket, deadline_us: int, earlier: tuple[Earlier, ...]
+    ) -> None:
+        """A kept job is to go: its payload lies in the store alone."""
+        assert self.store is not None
+        self.store.fetch(job.name, lambda found: self._offer(job, ticket, deadline_us, earlier, found))
+
+    def _offer(
+        self, job: Planned, ticket: Ticket, deadline_us: int, earlier: tuple[Earlier, ...], found: object
+    ) -> None:
+        """It becomes a transaction that passes the store before each of its attempts."""
         now = self.loop.now_us()
-        kept = ticket.content
-        if kept is None:
-            assert ticket.job is not None
-            ticket.transaction = self.decider.submit(
-                job.name, ticket.job, ticket.payload, now, deadline_us, ticket.on_change
-            )
+        if self.draining and not earlier and isinstance(found, tuple):
+            return  # nothing of it was sent: it waits on for the next start
+        if not isinstance(found, tuple) or now >= deadline_us:
+            why = found.why if isinstance(found, Failed) else Why.LATE.value
+            self.room.late(now, job.slots)
+            status = 502 if isinstance(found, Failed) or earlier else 504
+            self._finish(job.name, Final("failed", status, now, why=why), ticket)
             return
-        payload = self.front.payload(kept.payload)
+        kept, packed = found
+        payload = self.front.payload(packed)
         ticket.transaction = self.decider.submit(
             job.name, kept.job(job.cls), payload, now, deadline_us, _nobody, self._gate, earlier
         )
@@ -341,7 +359,7 @@
         final = _final(action.why, now)
         ticket.retry_after_us = action.retry_after_us
         self.log.event("waiting job ended", id=job.name, cls=job.cls, why=action.why.value)
-        if ticket.content is not None:
+        if ticket.lasts:
             self._finish(job.name, final, ticket)
         else:
             ticket.final = final
@@ -433,7 +451,7 @@
         else:
             self._back(now, transaction, answer)
             ticket = _ticket(job)
-            if ticket.content is None:
+            if not ticket.lasts:
                 self.plan.outcome(now, transaction.name, good)
             else:
                 final = self._final_of(answer, now)
--- a/rushsaddle/waiting/store.py
+++ b/rushsaddle/waiting/store.py
@@ -18,7 +18,7 @@
 from contextlib import suppress
 from pathlib import Path
 
-from .records import BadRecord, Final, Kept, Sent, pack, seal, unpack
+from .records import BadRecord, Final, Kept, Sent, checked, pack, seal, unpack
 
 FORMAT = 1  # of the tables; a store of a newer one is left alone
 QUEUE_MOST = 4096  # calls that may wait for the disk; what can be refused is refused beyond
@@ -27,7 +27,8 @@
 FORGET_MOST = 1000  # old answers dropped in one commit
 FILE = "waiting.sqlite"
 TABLES = """
-create table if not exists jobs(name text primary key, content blob not null, seal integer not null);
+create table if not exists jobs(name text primary key, content blob not null, seal integer not null,
+    payload blob not null, payload_seal integer not null);
 create table if not exists sends(name text not null, number integer not null, content blob not null,
     seal integer not null, primary key(name, number)) without rowid;
 create table if not exists met(name text not null, other text not null, primary key(name, other)) without
@@ -180,15 +181,34 @@
     def full(self) -> bool:
         return len(self._queue) >= QUEUE_MOST
 
-    def keep(self, job: Kept, done: Callable[[object], None]) -> bool:
-        """Write a new job; False where too much waits for the disk.  ``done`` gets None or Failed."""
+    def keep(self, job: Kept, payload: bytes, done: Callable[[object], None]) -> bool:
+        """Write a new job; False where too much waits for the disk.  ``done`` gets None or Failed.
+
+        ``payload`` is in the words of the front that took it.
+        """
         if self.full:
             return False
         content = pack(job)
-        row = (job.name, content, seal("job", job.name, content))
-        self._put(lambda db: db.execute("insert into jobs values(?, ?, ?)", row) and None, done)
+        row = (job.name, content, seal("job", job.name, content), payload, seal("payload", job.name, payload))
+        self._put(lambda db: db.execute("insert into jobs values(?, ?, ?, ?, ?)", row) and None, done)
         return True
 
+    def fetch(self, name: str, done: Callable[[object], None]) -> None:
+        """Read a job that is to go: ``done`` gets it and its payload, or Failed where they are damaged."""
+
+        def work(db: sqlite3.Connection) -> tuple[Kept, bytes] | Failed:
+            row = db.execute(
+                "select content, seal, payload, payload_seal from jobs where name = ?", (name,)
+            ).fetchone()
+            if row is None:
+                return Failed("its record is gone")
+            try:
+                return unpack(Kept, "job", name, *row[:2]), checked("payload", name, *row[2:])
+            except BadRecord as error:
+                return Failed(str(error))
+
+        self._put(work, done, must=True)
+
     def drop(self, name: str) -> None:
         """A job whose writing failed was refused: should it be on the disk all the same, it must not stay."""
         self._put(lambda db: db.execute("delete from jobs where name = ?", (name,)) and None, _nothing,
--- a/tests/waiting/test_recover.py
+++ b/tests/waiting/test_recover.py
@@ -20,7 +20,7 @@
 
 
 def kept(cls: str, give_up: int = 100 * SECOND) -> Kept:
-    return Kept("j", cls, 0, give_up, (), 1.0, 0.0, 0, "", False, 0, b"")
+    return Kept("j", cls, 0, give_up, (), 1.0, 0.0, 0, "", False, 0)
 
 
 def test_each_fate() -> None:
--- a/tests/waiting/test_store.py
+++ b/tests/waiting/test_store.py
@@ -34,7 +34,7 @@
 
     def keep(self, name: str, payload: bytes = b"x") -> object:
         results: list[object] = []
-        assert self.store.keep(kept(name, payload), results.append)
+        assert self.store.keep(kept(name), payload, results.append)
         return self.wait(results)
 
     def sent(self, name: str, number: int) -> object:
@@ -47,14 +47,19 @@
         self.store.answered(name, final, results.append)
         return self.wait(results)
 
+    def fetch(self, name: str) -> object:
+        results: list[object] = []
+        self.store.fetch(name, results.append)
+        return self.wait(results)
+
     def read(self, name: str) -> object:
         results: list[object] = []
         self.store.read(name, results.append)
         return self.wait(results)
 
 
-def kept(name: str, payload: bytes = b"x") -> Kept:
-    return Kept(name, "bulk-batch", 1, 2, ("a", "b"), 2.0, 0.5, 0, "k", True, 7, payload)
+def kept(name: str) -> Kept:
+    return Kept(name, "bulk-batch", 1, 2, ("a", "b"), 2.0, 0.5, 0, "k", True, 7)
 
 
 def test_what_was_written_is_found_again(tmp_path: Path) -> None:
@@ -94,7 +99,8 @@
         found = Hand(cut)
         jobs = found.found.jobs
         assert list(jobs) == [f"j{n}" for n in range(len(jobs))] and len(jobs) <= before
-        assert all(jobs[f"j{n}"].payload == bytes([n]) * 3000 for n in range(len(jobs)))
+        for n in range(len(jobs)):
+            assert found.fetch(f"j{n}") == (kept(f"j{n}"), bytes([n]) * 3000)
         before = len(jobs)
         assert found.keep("new") is None  # and it can be written to
         found.store.close()
@@ -115,7 +121,11 @@
         assert damaged != content
         db.execute("update jobs set content = ? where name = 'j1'", (damaged,))
         db.execute("update sends set seal = seal + 1")
+        db.execute("update jobs set payload = x'00' where name = 'j3'")
     hand = Hand(tmp_path)
+    damaged_payload = hand.fetch("j3")
+    assert isinstance(damaged_payload, Failed) and "payload of 'j3'" in damaged_payload.why
+    assert isinstance(hand.fetch("j9"), Failed)
     assert list(hand.found.jobs) == ["j3"]  # that j2 was not sent must not be believed either
     assert "wrong checksum" in hand.found.broken["j1"] and "send of 'j2'" in hand.found.broken["j2"]
     hand.store.close()
@@ -159,14 +169,14 @@
 
 def _insert(name: str) -> module.Work:
     content = pack(kept(name))
-    row = (name, content, seal("job", name, content))
-    return lambda db: db.execute("insert into jobs values(?, ?, ?)", row) and None
+    row = (name, content, seal("job", name, content), b"", 0)
+    return lambda db: db.execute("insert into jobs values(?, ?, ?, ?, ?)", row) and None
 
 
 def test_the_queue_for_the_disk_is_bounded(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(module, "QUEUE_MOST", 3)
     store = Store(tmp_path, lambda: None)  # its thread is not started: nothing is taken from the queue
-    assert [store.keep(kept(f"j{n}"), lambda _: None) for n in range(5)] == [True] * 3 + [False] * 2
+    assert [store.keep(kept(f"j{n}"), b"", lambda _: None) for n in range(5)] == [True] * 3 + [False] * 2
     store.close()
 
 
