structlog writes the log where an operator has settings; the platform keeps the lean writer

Need: structured logs through a library, with the old writer kept if it costs more than 5 us. So the platform's node keeps its writer behind the same call; with an operator's settings structlog writes the same lines, or text for people by [log] format.

--- a/rushsaddle/node.py
+++ b/rushsaddle/node.py
@@ -59,7 +59,13 @@
         settings, limits = told.settings, told.settings.limits
         clock = Clock()
         self.code = 0
+        self.settle = settle  # reads what the operator has set
+        self.operator = settle()
         self.log = Log(told.name, clock.now_us)
+        if self.operator is not None:
+            from .structured import StructuredLog
+
+            self.log = StructuredLog(told.name, clock.now_us, self.operator.log.format == "text")
         self.loop = Loop(clock, lambda error: self.log.error("a connection's code failed", error))
         self.decider = Decider(
             self.loop, self.log, Dispatcher(settings, told.seed), settings.tick_us, limits.max_attempts,
@@ -81,8 +87,6 @@
         self.callers = Callers(self.loop, self.log, self.decider, self.hops, classes, tenants, budget)
         self.deadline_us = max(c.deadline_us for c in settings.classes)
         self.told = told
-        self.settle = settle  # reads what the operator has set
-        self.operator = settle()
         self.waiting: Waiting | None = None
         if self.operator is not None and self.operator.waiting.enabled:
             from .parts import waiting_part
--- a/rushsaddle/operator/records.py
+++ b/rushsaddle/operator/records.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import re
-from typing import Annotated
+from typing import Annotated, Literal
 
 import msgspec
 
@@ -46,12 +46,19 @@
     legs_share: Share = 0.5  # share of the connections from callers that may wait
 
 
+class LogSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """[log]: how the log is written."""
+
+    format: Literal["json", "text"] = "json"  # one JSON line an event, or lines for people
+
+
 class Operator(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The whole file."""
 
     version: int = VERSION
     waiting: Waiting = msgspec.field(default_factory=Waiting)
+    log: LogSection = msgspec.field(default_factory=LogSection)
 
 
-SECTIONS: dict[str, type[msgspec.Struct]] = {"waiting": Waiting}
+SECTIONS: dict[str, type[msgspec.Struct]] = {"waiting": Waiting, "log": LogSection}
 DURATIONS = {("waiting", key) for key in ("longest", "remember", "keep")}
