jobs list, show and cancel; released jobs that no sender has begun are no room

Change: own fresh jobs are counted exactly, and what others hold shrinks five times more slowly than it grows.

--- a/rushsaddle/cli.py
+++ b/rushsaddle/cli.py
@@ -9,6 +9,7 @@
 
 import click
 
+from .cli_jobs import fail, jobs
 from .operator.load import FILE_VARIABLE, PREFIX, OperatorError, read, wanted
 from .operator.records import SECTIONS, Operator
 
@@ -38,12 +39,6 @@
     return flags
 
 
-def fail(text: object, code: int = 2) -> None:
-    """One line on standard error, and the exit code."""
-    print(f"rushsaddle: {text}", file=sys.stderr)
-    sys.exit(code)
-
-
 @click.group(invoke_without_command=True, context_settings={"help_option_names": ["-h", "--help"]})
 @click.pass_context
 def command(context: click.Context) -> None:
@@ -110,3 +105,6 @@
     from . import VERSION
 
     print(orjson.dumps({"version": VERSION}).decode() if as_json else f"rushsaddle {VERSION}")
+
+
+command.add_command(jobs)
--- a/rushsaddle/waiting/room.py
+++ b/rushsaddle/waiting/room.py
@@ -20,6 +20,7 @@
 LOSS = 0.5  # what a refused job leaves of the bound
 LATE_LOSS = 0.9  # ... and one that ended late: a sender that hangs is no sign of a crowd
 SMOOTH = 0.1  # weight of the newest observation in running means
+FALL = 0.2  # what others hold is believed to shrink so much more slowly than to grow
 STALE = 4.0  # a sender that was not heard for so many usual spacings counts for nothing
 SPACING_US = 1_000_000.0  # between reports of a sender, before it is known
 SAMPLE_US = 50_000  # between notes of how much released jobs held
@@ -48,6 +49,7 @@
         self.reserve = reserve
         self.nodes = max(1, nodes)
         self.out = 0.0  # slots of released jobs that have no answer yet
+        self.open = 0.0  # slots of all jobs of this node that have no answer yet, fresh ones too
         self.bound = START
         self._run = list(usual_us)
         self._slow_start = True
@@ -94,8 +96,11 @@
         heard.total = max(heard.total, free)
         self._total += heard.total
         self._free += heard.free
-        others = max(0.0, self._total - self._free - self._held(now))
+        # Released jobs that no sender has begun yet are no room: own fresh ones are counted, not inferred.
+        others = max(self.open - self.out, self._total - self._free - self._held(now))
         step = min(1.0, SMOOTH * 10 / max(1, len(self._senders)))
+        if others < self._others:
+            step *= FALL
         self._others += step * (others - self._others)
         # Our share of what is free, dealt out as the reports come in.
         share = self._free / self.nodes
--- a/rushsaddle/waiting/service.py
+++ b/rushsaddle/waiting/service.py
@@ -19,6 +19,7 @@
     Event,
     ListKind,
     Outcome,
+    RequestArrived,
     Settings,
     WorkerList,
     WorkerState,
@@ -442,6 +443,7 @@
     def _over(self, transaction: Transaction) -> None:
         """Any transaction has its answer, or its caller has left."""
         now, answer = self.loop.now_us(), transaction.answer
+        self.room.open = max(0.0, self.room.open - transaction.job.slots)
         good = answer is not None and answer.verdict is Verdict.SERVED
         job = self.plan.jobs.get(transaction.name)
         if job is None or job.state is not State.RELEASED:
@@ -482,7 +484,9 @@
 
     def _observe(self, event: Event) -> None:
         """Reports and lists, as the decisions hear them."""
-        if isinstance(event, CheckResult | AttemptEnded):
+        if isinstance(event, RequestArrived):
+            self.room.open += event.slots
+        elif isinstance(event, CheckResult | AttemptEnded):
             if event.report is not None:
                 free = event.report.get("free_slots")
                 if isinstance(free, int | float):
