--- /dev/null
+++ b/measure/waiting_store.py
@@ -0,0 +1,134 @@
+"""Rates of 202 with fsync beside a bare loop of write and fsync, and the start with 100,000 stored jobs.
+
+    python -m measure.waiting_store [--folder DIR] [--seconds 4] [--jobs 100000] [--rounds 3] [--json FILE]
+
+DIR should lie on the disk that the store is to lie on.  Callers keep one request in flight each.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import os
+import statistics
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+from rushsaddle.waiting.records import Kept
+from rushsaddle.waiting.store import Store
+
+from .rig import Caller, Node, Senders, room_for_descriptors
+
+CALLERS = (1, 16, 128)
+RECORD = 600  # bytes that one job takes in the bare loop
+
+
+def bare(folder: Path, seconds: float) -> float:
+    """Writes with an fsync each, a second."""
+    descriptor = os.open(folder / "bare", os.O_WRONLY | os.O_CREAT | os.O_APPEND)
+    count, until = 0, time.monotonic() + seconds
+    while time.monotonic() < until:
+        os.write(descriptor, b"x" * RECORD)
+        os.fsync(descriptor)
+        count += 1
+    os.close(descriptor)
+    return count / seconds
+
+
+async def rate(node: Node, callers: int, seconds: float, label: str) -> tuple[float, float]:
+    """202 a second, and the 99th percentile of their latency in milliseconds."""
+    until = time.monotonic() + seconds
+    took: list[float] = []
+
+    async def one(number: int) -> None:
+        caller, count = Caller(node.port), 0
+        while time.monotonic() < until:
+            count += 1
+            reply = await caller.ask("POST", "/bulk-batch", {
+                "X-Request-ID": f"{label}-{number}-{count}", "X-After": "never", "Prefer": "respond-async",
+                "X-Timeout": "80000",
+            }, b"m" * 160)
+            if reply.status != 202:
+                raise RuntimeError(f"status {reply.status}")
+            took.append(reply.at - reply.sent)
+
+    await asyncio.gather(*(one(n) for n in range(callers)))
+    took.sort()
+    return len(took) / seconds, took[int(len(took) * 0.99)] * 1e3
+
+
+def fill(folder: Path, count: int) -> None:
+    """A store with so many jobs due in an hour, written by the store itself."""
+    store = Store(folder, lambda: None)
+    store.start()
+    due = time.time_ns() // 1000 + 3_600_000_000
+    ends: list[object] = []
+    for n in range(count):
+        name = f"{n:032x}"
+        kept = Kept(name, "single-text", due, due + 5_000_000, (), 1.0, 0.5, 0, "7f3a9c", False, 150_000)
+        while not store.keep(kept, b"m" * 500, ends.append):
+            store.collect()
+            time.sleep(0.001)
+    while len(ends) < count:
+        store.collect()
+        time.sleep(0.001)
+    store.close()
+
+
+def measure(folder: Path, told: argparse.Namespace) -> list[dict[str, Any]]:
+    senders = Senders(folder, 2, 4)
+    rows: list[dict[str, Any]] = []
+    for number in range(told.rounds):
+        store = folder / f"store-{number}"
+        store.mkdir()
+        operator = {
+            "RUSHSADDLE_WAITING__ENABLED": "true", "RUSHSADDLE_WAITING__STORE": str(store),
+            "RUSHSADDLE_WAITING__MOST": "1000000",
+        }
+        node = Node(folder, senders.discovery, operator)
+        row: dict[str, Any] = {"bare": bare(folder, told.seconds)}
+        for callers in CALLERS:
+            row[f"rate_{callers}"], row[f"p99_ms_{callers}"] = asyncio.run(
+                rate(node, callers, told.seconds, f"{number}-{callers}")
+            )
+        node.stop()
+        full = folder / f"full-{number}"
+        full.mkdir()
+        fill(full, told.jobs)
+        node = Node(folder, senders.discovery, {**operator, "RUSHSADDLE_WAITING__STORE": str(full)})
+        (event,) = node.events("stored jobs")
+        row |= {"start_jobs": event["waiting"], "load_s": event["us"] / 1e6, "memory_mb": node.memory_mb()}
+        node.stop()
+        row["start_s"] = node.start()
+        node.stop()
+        rows.append(row)
+        print(row, file=sys.stderr, flush=True)
+    senders.stop()
+    return rows
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--folder", help="else a temporary one")
+    parser.add_argument("--seconds", type=float, default=4.0)
+    parser.add_argument("--jobs", type=int, default=100_000)
+    parser.add_argument("--rounds", type=int, default=3)
+    parser.add_argument("--json")
+    told = parser.parse_args()
+    room_for_descriptors()
+    with tempfile.TemporaryDirectory(dir=told.folder) as folder:
+        rows = measure(Path(folder), told)
+    for key in rows[0]:
+        values = sorted(row[key] for row in rows)
+        print(f"| {key} | {statistics.median(values):.2f} | {values[0]:.2f} | {values[-1]:.2f} |")
+    if told.json:
+        Path(told.json).write_text(json.dumps(rows) + "\n")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/operator/test_load.py
@@ -0,0 +1,83 @@
+"""The operator's file: bad ones are refused whole, in one line that names file, key and reason."""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from pathlib import Path
+
+import pytest
+
+from rushsaddle.operator.load import OperatorError, read
+from rushsaddle.operator.records import SECTIONS, Operator, duration_us
+
+from ..play import ROOT
+
+BAD = {
+    "version = 2": "version: 2 is not known",
+    "": "version: missing",
+    "version = 1\n[waitng]": "waitng: no such key; did you mean waiting?",
+    "version = 1\n[waiting]\nmoost = 3": "waiting.moost: no such key; did you mean most?",
+    "version = 1\nwaiting = 3": "waiting: not a table",
+    "version = 1\n[waiting]\nmost = 0": "waiting.most: ",
+    "version = 1\n[waiting]\nmost = 1e3": "waiting.most: ",
+    "version = 1\n[waiting]\nmost = '5'": "waiting.most: ",
+    "version = 1\n[waiting]\nreserve = 1.5": "waiting.reserve: ",
+    "version = 1\n[waiting]\nreserve = nan": "waiting.reserve: ",
+    "version = 1\n[waiting]\nkeep = '5 weeks'": "waiting.keep: '5 weeks' is not a duration",
+    "version = 1\n[waiting]\nkeep = -1": "waiting.keep: -1 is not between",
+    "version = 1\n[waiting]\nkeep = inf": "waiting.keep: inf is not between",
+    "version = 1\n[waiting]\nmost = 1\nmost = 2": "file: not TOML",
+    "version = 1\n[log]\nformat = 'xml'": "log.format: ",
+    "version = 1\n[waiting": "file: not TOML",
+}
+
+
+@pytest.mark.parametrize("text", BAD, ids=range(len(BAD)))
+def test_bad_files(tmp_path: Path, text: str) -> None:
+    path = tmp_path / "operator.toml"
+    path.write_text(text)
+    with pytest.raises(OperatorError) as raised:
+        read(str(path), {}, {})
+    assert str(raised.value).startswith(f"{path}: {BAD[text]}") and "\n" not in str(raised.value)
+
+
+def test_what_is_no_file_of_text(tmp_path: Path) -> None:
+    (tmp_path / "bytes").write_bytes(b"version = 1\n# \xff")
+    (tmp_path / "huge").write_bytes(b"#" * (5 * 1024 * 1024))
+    (tmp_path / "circle").symlink_to(tmp_path / "circle")
+    for name, why in {"bytes": "not UTF-8 at byte 14", "huge": "over", "circle": "levels of symbolic links",
+                      "missing": "No such file", ".": "Is a directory"}.items():
+        with pytest.raises(OperatorError, match=why):
+            read(str(tmp_path / name), {}, {})
+
+
+def test_flags_go_over_the_environment_over_the_file(tmp_path: Path) -> None:
+    path = tmp_path / "operator.toml"
+    path.write_text("version = 1\n[waiting]\nmost = 1\nkeep = '5s'\nlegs_share = 0.25\n")
+    env = {"RUSHSADDLE_WAITING__MOST": "2", "RUSHSADDLE_WAITING__KEEP": "6s"}
+    env["RUSHSADDLE_OPERATOR"] = str(path)
+    found = read(None, env, {("waiting", "most"): "3"}).waiting
+    assert (found.most, found.keep, found.legs_share) == (3, "6s", 0.25)
+    for name, value, why in (
+        ("RUSHSADDLE_WAITING__MOSST", "2", "did you mean most"),
+        ("RUSHSADDLE_WATING__MOST", "2", "did you mean waiting"),
+        ("RUSHSADDLE_LOUD", "2", "no such setting"), ("RUSHSADDLE_WAITING__MOST", "many", "waiting.most"),
+    ):
+        with pytest.raises(OperatorError, match=why):
+            read(None, {name: value}, {})
+
+
+def test_durations() -> None:
+    assert [duration_us(d) for d in ("250ms", "5s", "2h", 1.5, 2)] == [
+        250_000, 5_000_000, 7_200_000_000, 1_500_000, 2_000_000
+    ]
+
+
+def test_the_example_names_every_key_with_its_default() -> None:
+    text = (ROOT / "deploy/operator.toml").read_text()
+    assert read(str(ROOT / "deploy/operator.toml"), {}, {}) == Operator()
+    switched_on = tomllib.loads(re.sub(r"(?m)^# (\w+ = )", r"\1", text))
+    for section, record in SECTIONS.items():
+        defaults = {key: getattr(record(), key) for key in record.__struct_fields__}
+        assert switched_on[section] == defaults
--- a/tests/waiting/test_plan.py
+++ b/tests/waiting/test_plan.py
@@ -210,6 +210,60 @@
     assert len(p._timers) < 1_000 and len(p._needed) < 1_000
 
 
+def test_a_thousand_jobs_due_at_once_with_two_fifths_of_the_senders_silent() -> None:
+    """Ten senders of four slots; four answer no job for 8 s, while their last reports claim room."""
+    room = Room([100_000.0, 600_000.0], 0.15, 1)
+    p = Plan(2, room, 2_000, 600 * S, 10_000, 2 * S)
+    room.listed([f"w{n}" for n in range(10)], True)
+    for n in range(1_000):
+        submit(p, 0, f"j{n}", due=S, give_up=41 * S, cls=n % 3 == 0)
+    random, answered, now = Random(5), {}, 0
+    out: list[tuple[int, str, int, bool]] = []  # end, name, sender, good
+    while now < 45 * S and (p.jobs or now < S):
+        now += 20_000
+        held = [sum(o[2] == w for o in out) for w in range(10)]
+        if now % 700_000 < 20_000:
+            for w in range(10):
+                if w >= 4 or now < S:
+                    room.report(now, f"w{w}", max(0.0, 4.0 - held[w]))
+        for entry in [o for o in out if o[0] <= now]:
+            out.remove(entry)
+            _, name, _, good = entry
+            (room.served if good else room.late)(now, 1.0)
+            p.outcome(now, name, good)
+            assert name not in answered
+            answered[name] = "served" if good else "late"
+        for action in p.step(now):
+            name = action.job.name
+            if isinstance(action, End):
+                assert name not in answered
+                answered[name] = action.why.value
+                continue
+            # The module would see a sender fill up with own jobs, silent or not.
+            w = random.choice([w for w in range(10) if held[w] < 8] or [9])
+            held[w] += 1
+            silent = w < 4 and now < 9 * S
+            out.append((now + (5 * S if silent else 400_000), name, w, not silent))
+    assert len(answered) == 1_000 and now <= 41 * S
+    assert sum(how == "served" for how in answered.values()) > 800
+
+
+def test_a_hundred_thousand_wait() -> None:
+    p, room = plan(most=100_000)
+    room.tokens = 1e9
+    for n in range(100_000):
+        assert submit(p, 0, f"j{n}", due=S + n, give_up=100 * S) is None
+    assert submit(p, 0, "one more", due=S) is Why.FULL
+    out = 0
+    for step in range(1_000):
+        now = S + step * 1_000
+        while (wait := p.next_us(now)) is not None and wait <= now:
+            for action in p.step(now):
+                out += isinstance(action, Release)
+                p.outcome(now, action.job.name, True)
+    assert out == 100_000 and not p.jobs and len(p._timers) < 2_000
+
+
 # ---------------------------------------------------------------- random histories
 
 
