Two commands to a reminder seen to arrive; processor time of two checkouts in turn

Need: a newcomer should see a waiting job arrive, and a part that is off must be shown to cost nothing.

--- a/Makefile
+++ b/Makefile
@@ -2,12 +2,18 @@
 
 CONFIG ?= examples/config.json
 
-.PHONY: build test lint run toy
+.PHONY: build setup reminder test lint run toy
 
 build:
 	cmp -s requirements.txt .venv/built || (rm -rf .venv && python3 -m venv .venv \
 		&& .venv/bin/pip -q install -r requirements.txt && cp requirements.txt .venv/built)
 
+setup: build
+	.venv/bin/pip -q install -e .
+
+reminder:
+	.venv/bin/python examples/reminder.py
+
 test:
 	pytest
 
--- /dev/null
+++ b/measure/cost.py
@@ -0,0 +1,82 @@
+"""Processor time a request of two checkouts, in turn, under the same load.
+
+    git worktree add /tmp/before COMMIT
+    python -m measure.cost --before /tmp/before [--rounds 7] [--requests 4000] [--operator KEY=VALUE ...]
+
+Each round starts a node of one checkout, then one of the other, and reads what the system booked to its
+process between the first request and the last.  ``--operator`` sets the present checkout's node alone.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import statistics
+import sys
+import tempfile
+from pathlib import Path
+
+from .rig import Caller, Node, Senders, room_for_descriptors
+
+AT_ONCE = 64
+
+
+async def load(node: Node, requests: int, label: str) -> float:
+    """Microseconds a request."""
+    left = iter(range(requests))
+    failed = 0
+
+    async def one() -> None:
+        nonlocal failed
+        caller = Caller(node.port)
+        for n in left:
+            reply = await caller.ask("POST", "/single-text", {
+                "X-Request-ID": f"{label}-{n}", "X-Timeout": "5.0", "Idempotency-Key": f"k{n}",
+                "X-Cost": "150000", "X-Attrs": "slots=1,memory=0.5", "Cookie": "key=7f3a9c21e0b4d655",
+            }, b"m" * 160)
+            failed += reply.status != 200
+
+    await asyncio.sleep(1.0)
+    began = node.cpu_s()
+    await asyncio.gather(*(one() for _ in range(AT_ONCE)))
+    cost = (node.cpu_s() - began) / requests * 1e6
+    if failed > requests // 100:
+        raise RuntimeError(f"{failed} of {requests} requests were not served")
+    return cost
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--before", required=True, help="the other checkout")
+    parser.add_argument("--rounds", type=int, default=7)
+    parser.add_argument("--requests", type=int, default=4000)
+    parser.add_argument("--operator", action="append", default=[], metavar="KEY=VALUE")
+    parser.add_argument("--json")
+    told = parser.parse_args()
+    room_for_descriptors()
+    operator = dict(item.partition("=")[::2] for item in told.operator)
+    pairs: list[tuple[float, float]] = []
+    with tempfile.TemporaryDirectory() as folder:
+        place = Path(folder)
+        senders = Senders(place, 20, 8)
+        for number in range(told.rounds):
+            costs: list[float] = []
+            for tree, settings in ((Path(told.before), {}), (None, operator)):
+                node = Node(place, senders.discovery, settings, tree=tree)
+                costs.append(asyncio.run(load(node, told.requests, f"{number}-{len(costs)}")))
+                node.stop()
+            pairs.append((costs[0], costs[1]))
+            print(f"before {costs[0]:.0f} us, now {costs[1]:.0f} us", file=sys.stderr, flush=True)
+        senders.stop()
+    ratios = sorted(now / before for before, now in pairs)
+    before, now = (statistics.median(c) for c in zip(*pairs, strict=True))
+    print(f"before {before:.0f} us a request, now {now:.0f} us")
+    print(f"ratio, pair by pair: {statistics.median(ratios):.3f} ({ratios[0]:.3f} to {ratios[-1]:.3f})")
+    if told.json:
+        Path(told.json).write_text(json.dumps(pairs) + "\n")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/measure/rig.py
+++ b/measure/rig.py
@@ -64,8 +64,10 @@
 
 class Node:
     def __init__(
-        self, folder: Path, discovery: str, operator: Mapping[str, str], sockets: int = 4096
+        self, folder: Path, discovery: str, operator: Mapping[str, str], sockets: int = 4096,
+        tree: Path | None = None,
     ) -> None:
+        self.tree = tree  # run from this checkout instead of the present one
         self.folder = folder
         self.operator = operator
         self.port = 0
@@ -80,6 +82,8 @@
         """Seconds until it was ready."""
         env = {k: v for k, v in os.environ.items() if not k.startswith(("GW_", "RUSHSADDLE_"))}
         env |= {"GW_CONFIG": str(self.folder / "config.json"), **self.operator}
+        if self.tree is not None:
+            env["PYTHONPATH"] = str(self.tree)
         if self.port:
             env["GW_LISTEN"] = f"127.0.0.1:{self.port}"
         self.starts += 1
@@ -87,7 +91,7 @@
         began = time.monotonic()
         with open(self.log, "wb") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "rushsaddle"], env=env, stdout=log, stderr=log
+                [sys.executable, "-m", "rushsaddle"], cwd=self.tree, env=env, stdout=log, stderr=log
             )
         while (found := re.search(r'"ready","listen":"127.0.0.1:(\d+)"', self.log.read_text())) is None:
             if self.process.poll() is not None or time.monotonic() > began + PATIENCE:
--- a/tests/test_example.py
+++ b/tests/test_example.py
@@ -44,3 +44,13 @@
             if process is not None:
                 process.kill()
                 process.communicate()
+
+
+def test_a_reminder_is_seen_to_arrive() -> None:
+    done = subprocess.run(
+        [sys.executable, "examples/reminder.py", "0.5"], cwd=ROOT, capture_output=True, text=True,
+        timeout=PATIENCE,
+    )
+    assert done.returncode == 0, done.stderr
+    assert "202: the node keeps /jobs/reminder-1" in done.stdout
+    assert "served, sent 28 bytes of text" in done.stdout
