A stored job remembers what it no longer waits for; records of attempts go first to the disk

Cause: outcomes of ordinary jobs live in memory, so after a crash a stored job waited for one that had been served and was given up at its time. A record of an attempt also stood behind hundreds of new jobs, and one that is 100 ms late is not sent. Change: the plan tells of each dependency met, the store keeps it; sends and fetches go to the front.

--- a/examples/reminder.py
+++ b/examples/reminder.py
@@ -22,7 +22,8 @@
     seconds = float(sys.argv[1]) if len(sys.argv) > 1 else 5.0
     with tempfile.TemporaryDirectory() as folder:
         toy = subprocess.Popen(
-            [sys.executable, str(HERE / "toy_server.py"), "0"], stdout=subprocess.PIPE, text=True
+            [sys.executable, str(HERE / "toy_server.py"), "0"], stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL, text=True,
         )
         node = None
         try:
@@ -55,7 +56,8 @@
                 told = json.loads(caller.getresponse().read())
                 if told["state"] != state:
                     state = told["state"]
-                    print(f"{time.time() - due:+.2f} s from its time: {state}, {told['result'] or 'on its way'}")
+                    late = time.time() - due
+                    print(f"{late:+.2f} s from its time: {state}, {told['result'] or 'on its way'}")
             caller.close()
             return int(state != "served")
         finally:
--- a/rushsaddle/waiting/plan.py
+++ b/rushsaddle/waiting/plan.py
@@ -81,7 +81,15 @@
     retry_after_us: int = 0
 
 
-Action = Release | End
+@dataclass(slots=True, frozen=True)
+class Met:
+    """A job that goes on waiting no longer waits for this one, which was served."""
+
+    job: Job
+    name: str
+
+
+Action = Release | End | Met
 
 
 LIVE = (State.WAITING, State.READY)
@@ -158,6 +166,7 @@
         self._departed = 0  # ... and are so no longer
         self._review_at = 0
         self._ends: list[End] = []
+        self._met: list[Met] = []
 
     # ------------------------------------------------------------ events
 
@@ -265,7 +274,8 @@
         if self.paced and self.ready and now >= self._review_at:
             self._review_at = now + REVIEW_US
             self._review(now)
-        actions: list[Action] = list(self.ended())
+        actions: list[Action] = [*self._met, *self.ended()]
+        self._met.clear()
         for _ in range(min(STEP_MOST, self.ready)):
             job = self._choose()
             if self.paced and not self.room.fits(now, job.slots):
@@ -300,7 +310,7 @@
         """Tell what waits for a job how it ended.  An end makes further news, which go to the end of the
         list: chains and fans of any length take steps, not recursion."""
         while self._news and budget:
-            _, waiting, good = self._news[0]
+            name, waiting, good = self._news[0]
             while waiting and budget:
                 job = waiting.pop()
                 budget -= 1
@@ -308,6 +318,8 @@
                     continue
                 if good:
                     self._one_less(job)
+                    if job.left:
+                        self._met.append(Met(job, name))
                 else:
                     self._end(now, job, Why.UNMET)
             if not waiting:
--- a/rushsaddle/waiting/service.py
+++ b/rushsaddle/waiting/service.py
@@ -147,12 +147,14 @@
         store = self.store
         if store is None or store.full or len(self.answers) + len(self.plan.jobs) >= self._kept_most:
             return Why.FULL
+        now = self.loop.now_us()
+        after = tuple(other for other in after if self.plan.outcomes.get(now, other) is not True)
         ticket = Ticket(on_change, lasts=True)
         kept = Kept(
             name, self.settings.classes[job.cls].name, due_us, give_up_us, after, job.slots, job.memory,
             job.tenant, job.key, job.repeat, job.expected_us,
         )
-        why = self.plan.submit(self.loop.now_us(), Submission(
+        why = self.plan.submit(now, Submission(
             name, job.cls, due_us, give_up_us, after, job.slots, unkept=True, what=ticket
         ))
         if why is not None:
@@ -300,8 +302,10 @@
             for action in self.plan.step(now):
                 if isinstance(action, Release):
                     self._release(action.job)
-                else:
+                elif isinstance(action, End):
                     self._end(action, now)
+                elif _ticket(action.job).lasts and self.store is not None:
+                    self.store.met(action.job.name, action.name)  # else a restart would wait for it again
             if self.store is not None and now >= self._forget_at:
                 self._forget_at = now + FORGET_US
                 self.store.forget(now - self.rules.keep_us, self._forgotten)
--- a/rushsaddle/waiting/store.py
+++ b/rushsaddle/waiting/store.py
@@ -207,7 +207,7 @@
             except BadRecord as error:
                 return Failed(str(error))
 
-        self._put(work, done, must=True)
+        self._put(work, done, must=True, first=True)
 
     def drop(self, name: str) -> None:
         """A job whose writing failed was refused: should it be on the disk all the same, it must not stay."""
@@ -215,10 +215,12 @@
         must=True)
 
     def sent(self, name: str, attempt: Sent, done: Callable[[object], None]) -> None:
-        """Write that an attempt may run from now on."""
+        """Write that an attempt may run from now on; its job is out, so it goes before what waits here."""
         content = pack(attempt)
         row = (name, attempt.number, content, seal("send", name, content))
-        self._put(lambda db: db.execute("insert into sends values(?, ?, ?, ?)", row) and None, done)
+        self._put(
+            lambda db: db.execute("insert into sends values(?, ?, ?, ?)", row) and None, done, first=True
+        )
 
     def met(self, name: str, other: str) -> None:
         """The job no longer waits for the other one, which was served."""
@@ -264,9 +266,14 @@
 
         self._put(work, done)
 
-    def _put(self, work: Work, done: Callable[[object], None], must: bool = False) -> None:
+    def _put(
+        self, work: Work, done: Callable[[object], None], must: bool = False, first: bool = False
+    ) -> None:
         with self._there:
-            self._queue.append(Call(work, done, must))
+            if first:
+                self._queue.appendleft(Call(work, done, must))
+            else:
+                self._queue.append(Call(work, done, must))
             self._there.notify()
 
     def collect(self) -> int:
