--- a/measure/waiting_nine.py
+++ b/measure/waiting_nine.py
@@ -129,10 +129,14 @@
         of = [r for r in results if r["mode"] == mode]
         left.plot([r["seed"] for r in of], [r["worth"] for r in of], "o-", label=mode, color=colour)
         waits = sorted(w for r in of for w in r["waits_s"])
+        due = sum(r["waiting"] for r in of)
         if waits:
-            right.plot(waits, [(n + 1) / len(waits) for n in range(len(waits))], label=mode, color=colour)
-    left.set(xlabel="seed", ylabel="worth of fresh traffic kept", ylim=(0, 1), title="Fresh traffic")
-    right.set(xlabel="seconds after the hour", ylabel="share served", title="Jobs due at the hour")
+            right.plot(waits, [(n + 1) / due for n in range(len(waits))], label=mode, color=colour)
+    left.set(xlabel="seed", ylabel="worth of fresh traffic kept", title="Fresh traffic beside them")
+    left.set_xticks([r["seed"] for r in results if r["mode"] == "none"])
+    left.set_ylim(min(0.9, *(r["worth"] - 0.01 for r in results)), 1.005)
+    right.set(xlabel="seconds after the hour", ylabel="share of all that were due, served", ylim=(0, 1.02),
+              title="Jobs due at the hour")
     for axes in (left, right):
         axes.grid(alpha=0.3)
         axes.legend()
@@ -167,10 +171,14 @@
     parser.add_argument("--side-by-side", type=int, default=2, help="runs at once; each needs three cores")
     parser.add_argument("--json")
     parser.add_argument("--chart")
+    parser.add_argument("--redraw", metavar="FILE", help="only draw the chart, of an earlier run's --json")
     parser.add_argument("--one", help=argparse.SUPPRESS)
     parser.add_argument("--folder", help=argparse.SUPPRESS)
     told = parser.parse_args()
     room_for_descriptors()
+    if told.redraw:
+        chart(json.loads(Path(told.redraw).read_text()), Path(told.chart))
+        return 0
     if told.one:
         seed, _, mode = told.one.partition(":")
         result = asyncio.run(one(Path(told.folder), int(seed), mode, told.waiting, told.silent))
