--- a/rushsaddle/cli.py
+++ b/rushsaddle/cli.py
@@ -9,29 +9,44 @@
 
 import click
 
-from .cli_jobs import fail, jobs
-from .operator.load import FILE_VARIABLE, PREFIX, OperatorError, read, wanted
-from .operator.records import SECTIONS, Operator
+from tansygw.interface import Settings
+
+from .cli_jobs import JobsError, Running, fail, jobs
+from .operator.explain import checked
+from .operator.load import (
+    FILE_VARIABLE,
+    PREFIX,
+    SET_VARIABLE,
+    OperatorError,
+    Source,
+    read_with_source,
+    wanted,
+)
+from .operator.records import Operator, plain_keys
 
 F = TypeVar("F", bound=Callable[..., Any])
 
 
 def settings_options(function: F) -> F:
     """A flag for each key of the operator's file; the environment's names stand in the help."""
-    for section, record in reversed(SECTIONS.items()):
-        for key in reversed(record.__struct_fields__):
-            variable = f"{PREFIX}{section}__{key}".upper()
-            function = click.option(
-                f"--{section}-{key.replace('_', '-')}", f"{section}__{key}", metavar="VALUE",
-                help=f"{section}.{key} of the file; also {variable}.",
-            )(function)
+    for section, key in reversed(list(plain_keys())):
+        flag = f"--{section}-{key.replace('_', '-').replace('--', '-')}"
+        variable = f"{PREFIX}{section}__{key}".upper()
+        function = click.option(
+            flag, f"{section}__{key}", metavar="VALUE",
+            help=f"{section}.{key.replace('__', '.')} of the file; also {variable}.",
+        )(function)
+    function = click.option(
+        "--set", "assignments", multiple=True, metavar="KEY=VALUE",
+        help=f"Any key, as the file writes it: limits.class.bulk-batch.attempts=2; also {SET_VARIABLE}.",
+    )(function)
     return click.option(
         "--operator", "operator_file", type=click.Path(), help=f"The operator's file; also {FILE_VARIABLE}."
     )(function)
 
 
 def flags_of(values: dict[str, Any]) -> dict[tuple[str, str], str]:
-    flags = {}
+    flags = {("", assignment): "" for assignment in values.pop("assignments", ())}
     for name, value in values.items():
         section, double, key = name.partition("__")
         if double and value is not None:
@@ -61,38 +76,124 @@
 
     flags = flags_of(values)
 
-    def settle() -> Operator | None:
+    def settle() -> tuple[Operator, Source] | None:
         if not wanted(os.environ, operator_file, flags):
             return None
-        return read(operator_file, os.environ, flags)
+        return read_with_source(operator_file, os.environ, flags)
 
     sys.exit(node.serve(settle))
 
 
+def platform_of(config: str | None) -> Settings | None:
+    """The platform's settings out of a node's configuration."""
+    if config is None:
+        return None
+    from .config import ConfigError
+    from .config import read as read_config
+
+    try:
+        nowhere = "127.0.0.1:0"
+        told = {"GW_CONFIG": config, "GW_LISTEN": nowhere, "GW_DISCOVERY": nowhere}
+        return read_config(told).settings
+    except ConfigError as error:
+        fail(error)
+        raise
+
+
 @command.command()
 @click.argument("file", type=click.Path())
+@click.option("--settings", metavar="CONFIG", type=click.Path(), help="A node's configuration.")
 @click.option("--json", "as_json", is_flag=True, help="For programs.")
-def check(file: str, as_json: bool) -> None:
-    """Check an operator's file: exit code 0 where it is good, 2 and one line where it is not.
+def check(file: str, settings: str | None, as_json: bool) -> None:
+    """Check an operator's file: exit code 0 where it is good, 2 and a line for each fault where it is not.
 
-    Example: rushsaddle check deploy/operator.toml
+    Example: rushsaddle check deploy/operator.toml --settings examples/config.json
     """
     import orjson
 
     try:
-        operator = read(file, {}, {})
+        operator = checked(file, platform_of(settings))
     except OperatorError as error:
         if as_json:
-            print(orjson.dumps({"file": file, "good": False, "why": str(error)}).decode())
-            sys.exit(2)
-        fail(error)
-        return
+            print(orjson.dumps({"file": file, "good": False, "faults": error.faults}).decode())
+        else:
+            print("\n".join(error.faults), file=sys.stderr)
+        sys.exit(2)
     if as_json:
         print(orjson.dumps({"file": file, "good": True, "waiting": operator.waiting.enabled}).decode())
     else:
         print(f"{file}: good")
 
 
+@command.command()
+@click.argument("file", type=click.Path())
+@click.option(
+    "--settings", metavar="CONFIG", type=click.Path(), required=True, help="A node's configuration."
+)
+@click.option("--class", "cls", metavar="NAME", required=True, help="A class of jobs.")
+@click.option("--route", metavar="PATH", help="A path; else the class's own limits are told.")
+@click.option("--json", "as_json", is_flag=True, help="For programs.")
+def explain(file: str, settings: str, cls: str, route: str | None, as_json: bool) -> None:
+    """The limits in force for a class or path, and which line set each.
+
+    Example: rushsaddle explain deploy/operator.toml --settings examples/config.json --class single-text
+    """
+    import orjson
+
+    from .operator.explain import ExplainError, explained
+
+    platform = platform_of(settings)
+    assert platform is not None
+    try:
+        rows = explained(file, platform, cls, route)
+    except (OperatorError, ExplainError) as error:
+        fail(error)
+        return
+    for row in rows:
+        if as_json:
+            click.echo(orjson.dumps(row))
+        else:
+            click.echo(f"{row['key']} = {row['value']}  ({row['from']})")
+
+
+@command.group()
+def limits() -> None:
+    """Limits of a running node.
+
+    Example: rushsaddle limits show --node 127.0.0.1:7070
+    """
+
+
+@limits.command()
+@click.option("--node", metavar="HOST:PORT", required=True, help="A node that serves.")
+@click.option("--json", "as_json", is_flag=True, help="For programs.")
+def show(node: str, as_json: bool) -> None:
+    """The generation in force, what each key holds, and what was refused.
+
+    Example: rushsaddle limits show --node 127.0.0.1:7070 --json
+    """
+    import orjson
+
+    try:
+        status, told = Running(node).ask("GET", "/limits")
+    except JobsError as error:
+        fail(error, error.code)
+        return
+    if status != 200:
+        fail(f"{node}: {status}: this node has no limits ({told})", 1)
+    if as_json:
+        click.echo(orjson.dumps(told))
+        return
+    click.echo(f"generation {told['generation']} ({told['checksum']}), {told['open']} requests open")
+    for old in told["older"]:
+        click.echo(f"generation {old['generation']}: {old['open']} requests still open")
+    for name, key in told["keys"].items():
+        click.echo(f"{name}: {key['in_flight']} in flight, usually {key['usual_ms']} ms"
+                   + (f", adaptive bound {key['adaptive']}" if key["adaptive"] is not None else ""))
+    for refused in told["refused"]:
+        click.echo(f"refused {refused['count']} by {refused['limit']} of {refused['key']}")
+
+
 @command.command()
 @click.option("--json", "as_json", is_flag=True, help="For programs.")
 def version(as_json: bool) -> None:
--- a/rushsaddle/core/decider.py
+++ b/rushsaddle/core/decider.py
@@ -9,6 +9,7 @@
 
 from tansygw import Dispatcher
 from tansygw.interface import (
+    ANY_TERMS,
     Action,
     AttemptEnded,
     AttemptNote,
@@ -25,6 +26,7 @@
     Send,
     SetTimer,
     Subscribe,
+    Terms,
     TimerFired,
 )
 
@@ -73,12 +75,13 @@
     def submit(
         self, name: str, job: Job, payload: object, received_us: int, deadline_us: int,
         on_answer: Callable[[], None], gate: Callable[[Branch], None] | None = None,
-        earlier: tuple[Earlier, ...] = (),
+        earlier: tuple[Earlier, ...] = (), terms: Terms = ANY_TERMS, permit: object = None,
     ) -> Transaction:
         """A request has come whole: it is owed an answer from here on.  Its name must not be in use.
 
         With a ``gate`` each branch is handed to it instead of being started: it calls ``begin`` when the
-        branch may go, or ends it.  ``earlier``: attempts of a process before this one.
+        branch may go, or ends it.  ``earlier``: attempts of a process before this one.  ``terms`` narrow what
+        the decisions may do; ``permit`` is for whoever let the request in.
         """
         self._count += 1
         self.names.add(name)
@@ -87,6 +90,7 @@
         )
         transaction.gate = gate
         transaction.earlier = earlier
+        transaction.terms, transaction.permit = terms, permit
         self._enqueue(transaction)
         return transaction
 
@@ -201,5 +205,5 @@
     job = t.job
     return RequestArrived(
         t.number, job.cls, max(0, t.deadline_us - now), job.slots, job.memory, job.tenant, job.key,
-        job.repeat, job.expected_us, t.earlier,
+        job.repeat, job.expected_us, t.earlier, t.terms,
     )
--- a/rushsaddle/core/transaction.py
+++ b/rushsaddle/core/transaction.py
@@ -11,6 +11,7 @@
 from enum import Enum
 
 from tansygw.interface import (
+    ANY_TERMS,
     AttemptEnded,
     AttemptNote,
     Earlier,
@@ -95,7 +96,7 @@
 
 class Transaction:
     __slots__ = ("answer", "branches", "deadline_us", "earlier", "gate", "job", "name", "number", "on_answer",
-                 "on_over", "out", "over", "payload", "received_us", "tell")
+                 "on_over", "out", "over", "payload", "permit", "received_us", "tell", "terms")
 
     def __init__(
         self, number: int, name: str, job: Job, payload: object, received_us: int, deadline_us: int,
@@ -113,6 +114,8 @@
         self.on_over = on_over
         self.gate: Callable[[Branch], None] | None = None  # each branch passes it before it is sent
         self.earlier: tuple[Earlier, ...] = ()
+        self.terms = ANY_TERMS
+        self.permit: object = None  # of whoever let it in
         self.branches: list[Branch] = []
         self.out = 0  # branches without an outcome
         self.answer: Answer | None = None
--- /dev/null
+++ b/rushsaddle/limits/build.py
@@ -0,0 +1,221 @@
+"""From the operator's tables to one generation: faults against the platform's settings, what is merged, the
+gate.
+
+What a narrower table leaves out comes from the wider one: route over class over default.  Whatever the file
+says, the result is held to the platform's limits once more when it is built: a fault that the checks missed
+must not widen anything.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from tansygw.interface import Effect, RequestClass, Settings, Terms
+
+from ..operator.records import Limits, LimitTable, RouteTable, duration_us
+from .adaptive import Adaptive
+from .budget import RetryBudget
+from .gate import Counters, Gate, Key, Rule, Target
+from .rate import Rate
+from .routes import OddPath, Routes, segments
+from .values import Bounds, Values
+
+At = tuple[str | int, ...]
+FIELDS = LimitTable.__struct_fields__
+
+
+@dataclass(slots=True, frozen=True)
+class Setting:
+    """One key in force, and the place in the file that set it; None: the platform's own."""
+
+    key: str
+    value: object
+    at: At | None
+
+
+def settings_of(limits: Limits, cls: str, route: int | None = None) -> list[Setting]:
+    """What is in force for a class or one of its routes, key by key."""
+    tables: list[tuple[At, LimitTable]] = [(("limits", "default"), limits.default)]
+    if cls in limits.class_:
+        tables.append((("limits", "class", cls), limits.class_[cls]))
+    if route is not None:
+        tables.append((("limits", "route", route), limits.route[route]))
+    found = []
+    for key in FIELDS:
+        value, at = None, None
+        for place, table in tables:
+            if getattr(table, key) is not None:
+                value, at = getattr(table, key), (*place, key)
+        found.append(Setting(key, value, at))
+    return found
+
+
+def problems(limits: Limits, settings: Settings) -> Iterator[tuple[At, str]]:
+    """Every fault of the limits against the rules and the platform's settings."""
+    classes = {c.name: c for c in settings.classes}
+    for name in limits.class_:
+        if name not in classes:
+            yield ("limits", "class", name), f"no such class; there are {', '.join(sorted(classes))}"
+    seen: dict[tuple[bytes, ...], int] = {}
+    for number, route in enumerate(limits.route):
+        at: At = ("limits", "route", number)
+        parts = _parts(route)
+        if isinstance(parts, str):
+            yield (*at, "match"), parts
+            continue
+        if parts in seen:
+            yield (*at, "match"), f"the same route as number {seen[parts] + 1}"
+        seen.setdefault(parts, number)
+        first = parts[0].decode("latin-1")
+        if first not in classes:
+            yield (*at, "match"), f"{first!r} is no class; there are {', '.join(sorted(classes))}"
+        elif len(parts) == 1:
+            yield (*at, "match"), f"a whole class: use [limits.class.{first}]"
+        else:
+            yield from _against(limits, classes[first], number, settings)
+    told: set[tuple[At, str]] = set()
+    for cls in classes.values():
+        for fault in _against(limits, cls, None, settings):
+            if fault not in told:
+                told.add(fault)
+                yield fault
+
+
+def _parts(route: RouteTable) -> tuple[bytes, ...] | str:
+    """The segments of a route, or why it is none."""
+    if not route.match.startswith("/"):
+        return "missing" if not route.match else "a path begins with /"
+    try:
+        return tuple(segments(route.match.encode()))
+    except OddPath as error:
+        return str(error)
+
+
+def _against(
+    limits: Limits, cls: RequestClass, route: int | None, settings: Settings
+) -> Iterator[tuple[At, str]]:
+    """Faults of the keys in force for one class or route, told where they were set."""
+    inside = {s.key: s for s in settings_of(limits, cls.name, route)}
+    own = ("limits", "route", route) if route is not None else None
+
+    def mine(key: str) -> At | None:
+        """Where a key was set; None where it was told already, with its class."""
+        at = inside[key].at
+        return at if at is not None and (own is None or at[: len(own)] == own) else None
+
+    attempts, copies = inside["attempts"].value, inside["second_copies"].value
+    if (at := mine("attempts")) and isinstance(attempts, int) and attempts > settings.limits.max_attempts:
+        yield at, f"{attempts} is over the platform's {settings.limits.max_attempts}"
+    if (at := mine("second_copies")) and copies:
+        if cls.effect is Effect.FRAGILE:  # a default that it inherits is as bad as a key of its own
+            yield at, f"{cls.name} must not run twice"
+        elif not settings.limits.second_copies:
+            yield at, "the platform allows no second copies"
+    whole = _us(inside["timeout"].value)
+    if (at := mine("timeout")) and whole is not None and whole > cls.deadline_us:
+        last = f"{cls.deadline_us / 1e6:g} s after which {cls.name} is given up"
+        yield at, f"{whole / 1e6:g} s is over the {last}"
+    one = _us(inside["attempt_timeout"].value)
+    limit = min(whole or cls.deadline_us, cls.deadline_us)
+    if one is not None and one > limit:
+        at = mine("attempt_timeout") or mine("timeout")
+        if at is not None:
+            yield at, f"an attempt of {one / 1e6:g} s in a request of {limit / 1e6:g} s"
+    burst = inside["burst"]
+    if (at := mine("burst")) and burst.value is not None and inside["rate"].value is None:
+        yield at, "a burst without a rate"
+
+
+def _us(value: object) -> int | None:
+    return duration_us(value) if isinstance(value, str | int | float) else None
+
+
+def values_of(limits: Limits, cls: RequestClass, route: int | None, settings: Settings) -> Values:
+    """The values in force, held to the platform's limits."""
+    inside = {s.key: s.value for s in settings_of(limits, cls.name, route)}
+    whole = min(_us(inside["timeout"]) or cls.deadline_us, cls.deadline_us)
+    one = _us(inside["attempt_timeout"]) or 0
+    attempts, copies, share = inside["attempts"], inside["second_copies"], inside["retry_share"]
+    most = settings.limits.max_attempts
+    return Values(
+        timeout_us=whole, attempt_timeout_us=one if one < whole else 0,
+        attempts=min(attempts, most) if isinstance(attempts, int) else most,
+        second_copies=(
+            copies is not False and settings.limits.second_copies and cls.effect is not Effect.FRAGILE
+        ),
+        retry_share=float(share) if isinstance(share, int | float) else 1.0,
+    )
+
+
+def bounds_of(table: LimitTable, wider: LimitTable | None = None) -> Bounds:
+    """What bounds a class (``wider`` is the default table) or a route by itself."""
+
+    def one(key: str) -> object:
+        value = getattr(table, key)
+        return getattr(wider, key) if value is None and wider is not None else value
+
+    in_flight, rate, burst = one("in_flight"), one("rate"), one("burst")
+    return Bounds(
+        in_flight=in_flight if isinstance(in_flight, int) else 0,
+        rate=float(rate) if isinstance(rate, int | float) else 0.0,
+        burst=burst if isinstance(burst, int) else 1, adaptive=bool(one("adaptive")),
+    )
+
+
+def build(limits: Limits, settings: Settings, number: int, counters: Counters, now: int) -> Gate:
+    """One generation; raises nothing for limits without ``problems``."""
+    targets: list[Target] = []
+    routes: Routes[Target] = Routes()
+    for n, cls in enumerate(settings.classes):
+        table = limits.class_.get(cls.name, LimitTable())
+        rule = _rule(counters, f"class {cls.name}", bounds_of(table, limits.default), cls, now)
+        targets.append(_target(n, values_of(limits, cls, None, settings), rule, None))
+    density = [
+        c.worth / max(1.0, t.rule.key.usual_us) for c, t in zip(settings.classes, targets, strict=True)
+    ]
+    most = limits.open or 0
+    if settings.limits.max_open:
+        most = min(most, settings.limits.max_open) if most else 0
+    gate = Gate(number, counters, targets, routes, density, most)
+    by_name = {c.name: n for n, c in enumerate(settings.classes)}
+    for place, table in enumerate(limits.route):
+        parts = _parts(table)
+        assert not isinstance(parts, str)
+        n = by_name[parts[0].decode("latin-1")]
+        cls = settings.classes[n]
+        own = _rule(counters, f"route {table.match}", bounds_of(table), cls, now)
+        values = values_of(limits, cls, place, settings)
+        routes.add(table.match.encode(), _target(n, values, targets[n].rule, own))
+        gate.join(targets[n].rule.key.name, own.key)
+    counters.drop([t.rule.key.name for t in targets] + [f"route {r.match}" for r in limits.route])
+    return gate
+
+
+def _rule(counters: Counters, name: str, bounds: Bounds, cls: RequestClass, now: int) -> Rule:
+    """A key with its counters as they are, under new bounds."""
+    key: Key = counters.key(name, 0.0)
+    if not bounds.rate:
+        key.rate = None
+    elif key.rate is None:
+        key.rate = Rate(bounds.rate, bounds.burst)
+    else:
+        key.rate = key.rate.changed(bounds.rate, bounds.burst, now)
+    if not bounds.adaptive:
+        key.adaptive = None
+    elif key.adaptive is None:
+        key.adaptive = Adaptive(float(cls.aim_us))
+    return Rule(key, bounds)
+
+
+def _target(cls: int, values: Values, rule: Rule, route: Rule | None) -> Target:
+    """The retry budget belongs to the narrowest key."""
+    key = (route or rule).key
+    if values.retry_share >= 1.0:
+        key.budget = None
+    elif key.budget is None:
+        key.budget = RetryBudget(values.retry_share)
+    else:
+        key.budget.share = values.retry_share
+    terms = Terms(values.attempts, values.attempt_timeout_us, values.second_copies, key.budget)
+    return Target(cls, values, terms, rule, route, key.budget)
--- /dev/null
+++ b/rushsaddle/limits/service.py
@@ -0,0 +1,112 @@
+"""Limits joined to the node: the generation in force, the swap at a reload, permits of transactions."""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Callable
+
+import msgspec
+
+from tansygw.interface import Settings
+
+from ..core.log import Log
+from ..core.transaction import Transaction, Verdict
+from ..net.caller import Admitted, Turned
+from ..operator.records import Limits
+from .build import build
+from .gate import Counters, Gate, Limit, Permit
+from .routes import OddPath
+
+STATUS = {
+    Limit.RATE: 429, Limit.IN_FLIGHT: 429, Limit.FAIR_SHARE: 429, Limit.ADAPTIVE: 503, Limit.SHED: 503,
+    Limit.DEADLINE: 503,
+}
+TOLD_EVERY_US = 1_000_000  # refusals are counted, and logged so often at the most
+
+
+class Held:
+    """A permit and the generation that it was given under."""
+
+    __slots__ = ("gate", "permit")
+
+    def __init__(self, gate: Gate, permit: Permit) -> None:
+        self.gate = gate
+        self.permit = permit
+
+
+class Limiter:
+    def __init__(self, now_us: Callable[[], int], log: Log, settings: Settings, limits: Limits) -> None:
+        self.now_us = now_us
+        self.log = log
+        self.settings = settings
+        self.counters = Counters()
+        self.old: list[Gate] = []  # generations that still have requests
+        self.refused: dict[tuple[str, str], int] = {}  # by key and limit
+        self._told_us = 0
+        self._number = 0
+        self.checksum = 0
+        self.gate = self._build(limits)
+
+    def _build(self, limits: Limits) -> Gate:
+        self._number += 1
+        self.checksum = zlib.crc32(msgspec.json.encode(limits, order="deterministic"))
+        gate = build(limits, self.settings, self._number, self.counters, self.now_us())
+        self.log.event(
+            "limits in force", generation=self._number, checksum=f"{self.checksum:08x}",
+            routes=len(limits.route),
+        )
+        return gate
+
+    def swap(self, limits: Limits) -> None:
+        """A new generation, in one assignment; requests that are open keep theirs."""
+        new = self._build(limits)
+        self.old = [gate for gate in (*self.old, self.gate) if gate.open]
+        self.gate = new
+
+    def admit(self, cls: int, path: bytes, left_us: int, repeat: bool) -> Admitted | Turned:
+        gate, now = self.gate, self.now_us()
+        try:
+            found = gate.admit(now, cls, path, left_us, repeat)
+        except OddPath as error:
+            return Turned(400, str(error), 0)
+        if isinstance(found, Permit):
+            values = found.target.values
+            return Admitted(values.timeout_us, found.target.terms, Held(gate, found))
+        key = (found.key, found.limit.value)
+        self.refused[key] = self.refused.get(key, 0) + 1
+        if now - self._told_us > TOLD_EVERY_US:
+            self._told_us = now
+            self.log.event("refused", key=found.key, limit=found.limit.value, count=self.refused[key])
+        back = 0
+        if self.settings.limits.retry_after and found.limit is not Limit.DEADLINE:
+            back = min(found.back_us, self.settings.limits.max_retry_after_us or found.back_us)
+        return Turned(STATUS[found.limit], f"{found.limit.value} of {found.key}", back)
+
+    def over(self, transaction: Transaction) -> None:
+        """A transaction has its answer, or its caller has left."""
+        held = transaction.permit
+        if not isinstance(held, Held):
+            return
+        transaction.permit = None
+        answer = transaction.answer
+        served = answer is not None and answer.verdict is Verdict.SERVED
+        held.gate.over(self.now_us(), held.permit, served)
+        if self.old and not held.gate.open:
+            self.old = [gate for gate in self.old if gate.open]
+
+    def shown(self) -> dict[str, object]:
+        """The generation in force and its counters, for people and programs."""
+        return {
+            "generation": self.gate.number, "checksum": f"{self.checksum:08x}", "open": self.gate.open,
+            "older": [{"generation": gate.number, "open": gate.open} for gate in self.old],
+            "keys": {
+                name: {
+                    "in_flight": key.in_flight, "usual_ms": round(key.usual_us / 1e3, 1),
+                    "adaptive": key.adaptive.limit if key.adaptive is not None else None,
+                    "retries_held": round(key.budget.held, 1) if key.budget is not None else None,
+                }
+                for name, key in list(self.counters.keys.items())[:1000]
+            },
+            "refused": [{"key": k, "limit": limit, "count": n} for (k, limit), n in self.refused.items()],
+        }
+
--- a/rushsaddle/net/caller.py
+++ b/rushsaddle/net/caller.py
@@ -8,11 +8,15 @@
 import select
 import socket
 from collections.abc import Mapping
+from dataclasses import dataclass
 from http import HTTPStatus
 from itertools import islice
 from typing import Any, Protocol
 
 import h11
+import orjson
+
+from tansygw.interface import ANY_TERMS, Terms
 
 from ..core.decider import Decider
 from ..core.log import Log
@@ -79,6 +83,32 @@
     ) -> Coroutine[bool]: ...
 
 
+class Limiter(Protocol):
+    """Lets requests in, or refuses them, before the decisions hear of them."""
+
+    def admit(self, cls: int, path: bytes, left_us: int, repeat: bool) -> Admitted | Turned: ...
+
+    def shown(self) -> dict[str, object]: ...
+
+
+@dataclass(slots=True, frozen=True)
+class Admitted:
+    """Let in: for at most ``timeout_us``, under ``terms``; ``permit`` is the limiter's own."""
+
+    timeout_us: int
+    terms: Terms
+    permit: object
+
+
+@dataclass(slots=True, frozen=True)
+class Turned:
+    """Refused: the status, why, and when to come back (0: nothing is told)."""
+
+    status: int
+    why: str
+    back_us: int
+
+
 class Leg:
     __slots__ = ("evicted", "idle", "opened_us", "proven", "stream", "task")
 
@@ -105,6 +135,7 @@
         self.budget = budget  # legs at once
         self.legs: dict[Leg, None] = {}
         self.desk: Desk | None = None  # where jobs may wait
+        self.limiter: Limiter | None = None
         self.draining = False  # no more requests than those that are on the way
         self._listener: socket.socket | None = None
         self._acceptor: Task | None = None
@@ -249,6 +280,10 @@
                 raise BadRequest(405, "GET only", unread)
             leg.proven = not unread
             return (yield from self.reply(leg, 503 if self.draining else 200, b"", close=unread))
+        if self.limiter is not None and path == b"/limits" and head.method == b"GET" and not unread:
+            leg.proven = True
+            json = [(b"Content-Type", b"application/json")]
+            return (yield from self.reply(leg, 200, orjson.dumps(self.limiter.shown()), json))
         desk = self.desk
         if desk is not None and (path == b"/jobs" or path.startswith(b"/jobs/")):
             return (yield from desk.resource(leg, head, headers, path, unread))
@@ -274,8 +309,17 @@
         if desk is not None and wish is not None:
             return (yield from desk.job(leg, wish, job, payload, received, wait_us, cls.deadline_us))
         wait_us = cls.deadline_us if wait_us is None else wait_us
+        terms, permit = ANY_TERMS, None
+        if self.limiter is not None:
+            let_in = self.limiter.admit(cls.number, path, min(wait_us, cls.deadline_us), job.repeat)
+            if isinstance(let_in, Turned):
+                more = [(b"Retry-After", b"%.3f" % (let_in.back_us / 1e6))] if let_in.back_us else []
+                return (yield from self.reply(leg, let_in.status, f"{let_in.why}\n".encode(), more))
+            wait_us = min(wait_us, let_in.timeout_us)
+            terms, permit = let_in.terms, let_in.permit
         transaction = self.decider.submit(
-            name, job, payload, received, received + wait_us, lambda: self.wake(leg)
+            name, job, payload, received, received + wait_us, lambda: self.wake(leg), terms=terms,
+            permit=permit,
         )
         return (yield from self.await_answer(leg, transaction))
 
--- a/rushsaddle/node.py
+++ b/rushsaddle/node.py
@@ -23,10 +23,12 @@
 from .net.nexthop import NextHops
 
 if TYPE_CHECKING:  # read only where an operator has set something: the platform's node stays lean
+    from .limits.service import Limiter
+    from .operator.load import Source
     from .operator.records import Operator
     from .waiting.service import Waiting
 
-Settle = Callable[[], "Operator | None"]
+Settle = Callable[[], "tuple[Operator, Source] | None"]
 
 SPARE = 40  # descriptors for the loop, the log, discovery, and sockets on their way out
 DRAIN_LOOK_US = 20_000
@@ -60,7 +62,8 @@
         clock = Clock()
         self.code = 0
         self.settle = settle  # reads what the operator has set
-        self.operator = settle()
+        settled = settle()
+        self.operator = settled[0] if settled is not None else None
         self.log = Log(told.name, clock.now_us)
         if self.operator is not None:
             from .structured import StructuredLog
@@ -92,6 +95,11 @@
             from .parts import waiting_part
 
             self.waiting = waiting_part(self, self.operator.waiting)
+        self.limiter: Limiter | None = None
+        if settled is not None and settled[0].limits is not None:
+            from .parts import limit_part
+
+            self.limiter = limit_part(self, *settled)
 
     def run(self, signals: socket.socket) -> int:
         """Serve until a signal to end; raises OSError where the address is not to be had."""
@@ -147,22 +155,17 @@
     def _reload_operator(self) -> None:
         """Take the operator's settings as they are now, whole or not at all."""
         from .operator.load import OperatorError
+        from .parts import take
 
+        began = self.loop.now_us()
         try:
-            new = self.settle()
+            settled = self.settle()
+            late = take(self, *settled) if settled is not None else []
         except OperatorError as error:
-            self.log.error("operator's settings kept", error)
+            self.log.error("operator's settings kept", error, faults=len(error.faults))
             return
-        old, self.operator = self.operator, new
-        late: list[str] = []
-        if new is not None and old is not None:
-            if self.waiting is not None:
-                from .parts import take_waiting
-
-                take_waiting(self, new.waiting)
-            late = [key for key in ("enabled", "store") if getattr(new.waiting, key) != getattr(old.waiting,
-            key)]
-        self.log.event("operator's settings read", at_next_start=late)
+        us = self.loop.now_us() - began
+        self.log.event("operator's settings read", at_next_start=late, us=us)
 
     def _drain(self) -> Coroutine[None]:
         """Take what is on the way, finish what is held, stop."""
@@ -195,10 +198,10 @@
         return 2
 
 
-def _from_environment() -> Operator | None:
+def _from_environment() -> tuple[Operator, Source] | None:
     """What the operator has set without flags."""
     if not any(name.startswith("RUSHSADDLE_") for name in os.environ):
         return None
-    from .operator.load import read
+    from .operator.load import read_with_source
 
-    return read(None, os.environ, {})
+    return read_with_source(None, os.environ, {})
--- /dev/null
+++ b/rushsaddle/operator/explain.py
@@ -0,0 +1,67 @@
+"""What a file comes to: the limits in force for one class or path, and the line that set each key."""
+
+from __future__ import annotations
+
+from tansygw.interface import RequestClass, Settings
+
+from ..limits.build import problems, settings_of, values_of
+from ..limits.routes import OddPath, Routes
+from .load import OperatorError, read_with_source
+from .records import Limits, Operator
+
+
+class ExplainError(ValueError):
+    """What cannot be explained, in one line."""
+
+
+def checked(file: str, platform: Settings | None) -> Operator:
+    """A good file; raises OperatorError with every fault, those against a given platform too."""
+    operator, source = read_with_source(file, {}, {})
+    if platform is not None and operator.limits is not None:
+        for at, reason in problems(operator.limits, platform):
+            source.fault(at, reason)
+        if source.faults:
+            raise OperatorError(source.faults)
+    return operator
+
+
+def explained(file: str, platform: Settings, cls: str, path: str | None) -> list[dict[str, object]]:
+    """Rows of key, value and where it came from; raises OperatorError or ExplainError."""
+    checked(file, platform)
+    operator, source = read_with_source(file, {}, {})
+    limits = operator.limits if operator.limits is not None else Limits()
+    info = next((c for c in platform.classes if c.name == cls), None)
+    if info is None:
+        raise ExplainError(f"{cls}: no such class; there are {', '.join(c.name for c in platform.classes)}")
+    route = _route(limits, info, path)
+    values = values_of(limits, info, route, platform)
+    platforms: dict[str, object] = {
+        "timeout": f"{values.timeout_us / 1e6:g}s", "attempts": values.attempts,
+        "second_copies": values.second_copies,
+        "attempt_timeout": f"{(values.attempt_timeout_us or values.timeout_us) / 1e6:g}s",
+    }
+    rows: list[dict[str, object]] = []
+    if route is not None:
+        at = ("limits", "route", route, "match")
+        rows.append({"key": "route", "value": limits.route[route].match, "from": source.place(at)})
+    for setting in settings_of(limits, cls, route):
+        if setting.at is None:
+            value = platforms.get(setting.key, "no bound")
+            rows.append({"key": setting.key, "value": value, "from": "the platform's"})
+        else:
+            rows.append({"key": setting.key, "value": setting.value, "from": source.place(setting.at)})
+    return rows
+
+
+def _route(limits: Limits, info: RequestClass, path: str | None) -> int | None:
+    if path is None:
+        return None
+    routes: Routes[int] = Routes()
+    for number, table in enumerate(limits.route):
+        routes.add(table.match.encode(), number)
+    if path.strip("/").split("/")[0] != info.name:
+        raise ExplainError(f"{path}: not a path of {info.name}")
+    try:
+        return routes.find(path.encode())
+    except OddPath as error:
+        raise ExplainError(f"{path}: {error}; such a request is refused") from None
--- a/rushsaddle/operator/records.py
+++ b/rushsaddle/operator/records.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Iterator
 from typing import Annotated, Literal
 
 import msgspec
@@ -52,13 +53,59 @@
     format: Literal["json", "text"] = "json"  # one JSON line an event, or lines for people
 
 
+class LimitTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """[limits.default] and [limits.class.NAME]; what is left out comes from the next wider table."""
+
+    timeout: Duration | None = None  # whole request, at most the class's give-up time
+    attempt_timeout: Duration | None = None  # one attempt
+    attempts: Annotated[int, msgspec.Meta(ge=1, le=1000)] | None = None  # never over the platform's
+    second_copies: bool | None = None  # only where a repeat does no harm
+    in_flight: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)] | None = None  # at once; more are refused
+    rate: Annotated[float, msgspec.Meta(gt=0.0, le=1e6)] | None = None  # a second
+    burst: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)] | None = None  # at once, within the rate
+    retry_share: Annotated[float, msgspec.Meta(ge=0.0, le=1.0)] | None = None  # by first tries
+    adaptive: bool | None = None  # a bound on requests at once that follows measured latency
+
+
+class RouteTable(LimitTable, frozen=True, forbid_unknown_fields=True):
+    """[[limits.route]]: the longest path prefix wins; over class, over default."""
+
+    match: str = ""
+
+
+class Limits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """[limits]: by default, class and route."""
+
+    default: LimitTable = msgspec.field(default_factory=LimitTable)
+    class_: dict[str, LimitTable] = msgspec.field(default_factory=dict, name="class")
+    route: tuple[RouteTable, ...] = ()
+    open: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)] | None = None  # requests at once in all
+
+
 class Operator(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The whole file."""
 
     version: int = VERSION
     waiting: Waiting = msgspec.field(default_factory=Waiting)
+    limits: Limits | None = None
     log: LogSection = msgspec.field(default_factory=LogSection)
 
 
-SECTIONS: dict[str, type[msgspec.Struct]] = {"waiting": Waiting, "log": LogSection}
-DURATIONS = {("waiting", key) for key in ("longest", "remember", "keep")}
+SECTIONS: dict[str, type[msgspec.Struct]] = {"waiting": Waiting, "limits": Limits, "log": LogSection}
+DURATIONS = {
+    *((Waiting, key) for key in ("longest", "remember", "keep")),
+    *((table, key) for table in (LimitTable, RouteTable) for key in ("timeout", "attempt_timeout")),
+}
+
+
+def plain_keys() -> Iterator[tuple[str, str]]:
+    """Section and key of everything that has a flag and a variable of its own; ``default__timeout`` lies a
+    table deeper.  Tables by name (classes, routes) are set by ``--set`` and ``RUSHSADDLE_SET``."""
+    for section, record in SECTIONS.items():
+        for key in record.__struct_encode_fields__:
+            if section == "limits" and key in ("class", "route"):
+                continue
+            if section == "limits" and key == "default":
+                yield from ((section, f"default__{inner}") for inner in LimitTable.__struct_encode_fields__)
+            else:
+                yield section, key
--- a/rushsaddle/waiting/room.py
+++ b/rushsaddle/waiting/room.py
@@ -25,7 +25,8 @@
 SPACING_US = 1_000_000.0  # between reports of a sender, before it is known
 SAMPLE_US = 50_000  # between notes of how much released jobs held
 SAMPLES = 64
-BEST_KEEP = 0.9  # what is left of the best rate seen ...
+RISE = 0.25  # answers that take long, often behind a sender in trouble, say so much less of running times
+BEST_KEEP = 0.98  # what is left of the best rate seen ...
 BEST_US = 2_000_000  # ... after each of these
 SWEEP_US = 500_000  # between looks for senders that are silent
 
@@ -108,7 +109,8 @@
 
     def run(self, cls: int, took_us: float) -> None:
         """A job of this class was served in this time."""
-        self._run[cls] += SMOOTH * (took_us - self._run[cls])
+        step = SMOOTH if took_us < self._run[cls] else SMOOTH * RISE
+        self._run[cls] += step * (min(took_us, 2.0 * self._run[cls]) - self._run[cls])
 
     def served(self, now: int, slots: float) -> None:
         """A released job was served."""
--- a/tansygw/decide.py
+++ b/tansygw/decide.py
@@ -125,7 +125,7 @@
     """One request, its attempts, and what may legally be sent or answered for it."""
 
     __slots__ = ("arrived", "attempts", "cls", "deadline", "earlier", "id", "info", "live", "memory", "out",
-                 "slots", "streaming", "worth")
+                 "slots", "streaming", "terms", "worth")
 
     def __init__(self, event: RequestArrived, info: RequestClass, now: int) -> None:
         self.id = event.request
@@ -137,6 +137,7 @@
         self.memory = _number(event.memory) or 0.0
         self.attempts: list[Attempt] = []
         self.earlier = event.earlier  # attempts of an earlier process, any of which may have run
+        self.terms = event.terms
         self.out = 0  # attempts without an outcome
         self.live = True  # a final answer is owed
         self.streaming = False
@@ -144,15 +145,15 @@
 
     def may_send(self, worker: Worker, now: int, settings: Settings) -> bool:
         """Rules 1 and 2: may one more attempt be sent, to this worker?"""
-        limits = settings.limits
+        limits, terms = settings.limits, self.terms
         attempts, earlier = self.attempts, self.earlier
         if not self.live or self.streaming or now >= self.deadline:
             return False
-        if len(attempts) + len(earlier) >= limits.max_attempts:
-            return False
         if not attempts and not earlier:
             return True
-        if self.out >= (2 if limits.second_copies else 1):
+        if not self.attempts_left(settings):
+            return False
+        if self.out >= (2 if limits.second_copies and terms.second_copies else 1):
             return False
         info = self.info
         if info.effect is Effect.RETRYABLE:
@@ -179,6 +180,15 @@
                 return False
         return first is None or now < first + info.window_us - settings.tick_us
 
+    def attempts_left(self, settings: Settings) -> int:
+        most = min(settings.limits.max_attempts, self.terms.max_attempts or settings.limits.max_attempts)
+        return max(0, most - len(self.attempts) - len(self.earlier))
+
+    def within_budget(self) -> bool:
+        """One more attempt for a request that had one, as its terms go; it is counted."""
+        budget = self.terms.budget
+        return budget is None or budget.take()
+
     def may_refuse(self) -> bool:
         """Rule 2: may the client be told that a new try does no harm?"""
         effect = self.info.effect
@@ -740,7 +750,7 @@
         if worker.faults:
             worker.trial = attempt
         worker.cold_credit -= request.slots * self.class_us[request.cls]
-        self.actions.append(Send(request.id, worker.name))
+        self.actions.append(Send(request.id, worker.name, request.terms.attempt_us))
         wait = START_MULTIPLE * self.busy_us
         if self.settings.tells_start:
             worker.waiting[attempt] = None
@@ -873,7 +883,7 @@
             return
         if self.copies >= 1.0 and self.now >= self.no_room[request.cls] and self._pays(request.cls):
             worker = self._draw(request, attempt.worker, roomy=True)
-            if worker is not None and self._send(request, worker):
+            if worker is not None and request.within_budget() and self._send(request, worker):
                 self.copies -= 1.0
                 return
             # Many jobs wait and nobody has room: one look serves all of the class.
@@ -969,12 +979,13 @@
 
     def _again(self, request: Request, attempt: Attempt) -> None:
         """An attempt failed and none is out: another one where it is legal, else the final answer."""
-        if attempt.outcome in NEVER_RAN or self.copies >= 1.0:
+        left = request.attempts_left(self.settings) > 0 and request.within_budget()
+        if left and (attempt.outcome in NEVER_RAN or self.copies >= 1.0):
             if attempt.outcome not in NEVER_RAN:
                 self.copies -= 1.0
             if self._place(request, attempt.worker):
                 return
-            if len(request.attempts) < self.settings.limits.max_attempts and attempt.outcome in NEVER_RAN:
+            if attempt.outcome in NEVER_RAN:
                 self._hold(request)
                 return
         self._answer(request)
--- a/tansygw/interface.py
+++ b/tansygw/interface.py
@@ -11,7 +11,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
-from typing import TypeAlias
+from typing import Protocol, TypeAlias
 
 
 class Effect(StrEnum):
@@ -198,6 +198,26 @@
     sent_us: int
 
 
+class Budget(Protocol):
+    """Further attempts that requests of one kind may still have."""
+
+    def take(self) -> bool:
+        """One more; False where there is none left."""
+
+
+@dataclass(slots=True, frozen=True)
+class Terms:
+    """What a request is allowed: narrower than the settings and the rules, never wider."""
+
+    max_attempts: int = 0  # 0: the settings'
+    attempt_us: int = 0  # an attempt's time-out; 0: until the client's deadline
+    second_copies: bool = True
+    budget: Budget | None = None  # asked before each attempt but the first
+
+
+ANY_TERMS = Terms()
+
+
 @dataclass(slots=True)
 class RequestArrived:
     request: int
@@ -210,6 +230,7 @@
     repeat: bool = False  # the client marked it as a repeat
     expected_us: int = 0  # expected running time at standard speed; 0: not told
     earlier: tuple[Earlier, ...] = ()  # its attempts before this process
+    terms: Terms = ANY_TERMS
 
 
 Report: TypeAlias = Mapping[str, float]
--- a/tests/operator/test_load.py
+++ b/tests/operator/test_load.py
@@ -9,27 +9,36 @@
 import pytest
 
 from rushsaddle.operator.load import OperatorError, read
-from rushsaddle.operator.records import SECTIONS, Operator, duration_us
+from rushsaddle.operator.records import SECTIONS, Limits, LimitTable, Operator, duration_us
 
 from ..play import ROOT
 
 BAD = {
-    "version = 2": "version: 2 is not known",
-    "": "version: missing",
-    "version = 1\n[waitng]": "waitng: no such key; did you mean waiting?",
-    "version = 1\n[waiting]\nmoost = 3": "waiting.moost: no such key; did you mean most?",
-    "version = 1\nwaiting = 3": "waiting: not a table",
-    "version = 1\n[waiting]\nmost = 0": "waiting.most: ",
-    "version = 1\n[waiting]\nmost = 1e3": "waiting.most: ",
-    "version = 1\n[waiting]\nmost = '5'": "waiting.most: ",
-    "version = 1\n[waiting]\nreserve = 1.5": "waiting.reserve: ",
-    "version = 1\n[waiting]\nreserve = nan": "waiting.reserve: ",
-    "version = 1\n[waiting]\nkeep = '5 weeks'": "waiting.keep: '5 weeks' is not a duration",
-    "version = 1\n[waiting]\nkeep = -1": "waiting.keep: -1 is not between",
-    "version = 1\n[waiting]\nkeep = inf": "waiting.keep: inf is not between",
-    "version = 1\n[waiting]\nmost = 1\nmost = 2": "file: not TOML",
-    "version = 1\n[log]\nformat = 'xml'": "log.format: ",
-    "version = 1\n[waiting": "file: not TOML",
+    "version = 2": ":1: version: 2 is not known",
+    "": ": file: version: missing",
+    "version = 1\n[waitng]": ":2: waitng: no such key; did you mean waiting?",
+    "version = 1\n[waiting]\nmoost = 3": ":3: waiting.moost: no such key; did you mean most?",
+    "version = 1\nwaiting = 3": ":2: waiting: not a table",
+    "version = 1\n[waiting]\nmost = 0": ":3: waiting.most: ",
+    "version = 1\n\n# of all\n[waiting]\n most = 1e3": ":5: waiting.most: ",
+    "version = 1\n[waiting]\nmost = '5'": ":3: waiting.most: ",
+    "version = 1\n[waiting]\nreserve = 1.5": ":3: waiting.reserve: ",
+    "version = 1\n[waiting]\nreserve = nan": ":3: waiting.reserve: nan is not a finite number",
+    "version = 1\n[waiting]\nkeep = '5 weeks'": ":3: waiting.keep: '5 weeks' is not a duration",
+    "version = 1\n[waiting]\nkeep = -1": ":3: waiting.keep: -1 is not between",
+    "version = 1\n[waiting]\nkeep = inf": ":3: waiting.keep: inf is not a finite number",
+    "version = 1\n[waiting]\nmost = 1\nmost = 2": ": file: not TOML",
+    "version = 1\n[log]\nformat = 'xml'": ":3: log.format: ",
+    "version = 1\n[waiting": ": file: not TOML",
+    "version = 1\n[limits.class.x]\nattempts = 0": ":3: limits.class.x.attempts: ",
+    "version = 1\n[limits.default]\nrate = 0.0": ":3: limits.default.rate: ",
+    "version = 1\nlimits.default.rate = -1": ":2: limits.default.rate: ",
+    "version = 1\n[[limits.route]]\n[[limits.route]]\nburst = 0": ":4: limits.route[1].burst: ",
+    "version = 1\n[[limits.route]]\nmach = '/x'": ":3: limits.route[0].mach: no such key; did you mean match?",  # noqa: E501
+    "version = 1\n[limits]\nroute = 5": ":3: limits.route: not an array of tables",
+    "version = 1\n[limits]\nclass = 5": ":3: limits.class: not a table",
+    "version = 1\n[limits.class]\nx = 5": ":3: limits.class.x: not a table",
+    "version = 1\n[limits.default]\ntimeout = true": ":3: limits.default.timeout: ",
 }
 
 
@@ -39,7 +48,28 @@
     path.write_text(text)
     with pytest.raises(OperatorError) as raised:
         read(str(path), {}, {})
-    assert str(raised.value).startswith(f"{path}: {BAD[text]}") and "\n" not in str(raised.value)
+    assert str(raised.value).startswith(f"{path}{BAD[text]}") and "\n" not in str(raised.value)
+
+
+def test_every_fault_is_told_at_once(tmp_path: Path) -> None:
+    path = tmp_path / "operator.toml"
+    path.write_text("version = 1\n[waiting]\nmost = 0\n[limits.default]\nrate = 0\nbrust = 1\n")
+    with pytest.raises(OperatorError) as raised:
+        read(str(path), {"RUSHSADDLE_LOG__FORMAT": "xml"}, {("", "limits.open=0"): ""})
+    places = [fault.split(" ")[0] for fault in raised.value.faults]
+    assert str(raised.value).endswith("(and 4 more)")
+    assert places == [f"{path}:3:", f"{path}:5:", f"{path}:6:", "--set", "RUSHSADDLE_LOG__FORMAT:"]
+
+
+def test_any_key_can_be_assigned() -> None:
+    env = {"RUSHSADDLE_SET": "limits.class.bulk-batch.attempts = 2\nwaiting.keep=5s\n"}
+    found = read(None, env, {("", "limits.class.bulk-batch.rate=7.5"): "", ("limits", "default__burst"): "3"})
+    assert found.limits is not None and found.waiting.keep == "5s" and found.limits.default.burst == 3
+    table = found.limits.class_["bulk-batch"]
+    assert (table.attempts, table.rate) == (2, 7.5)
+    for bad in ("waiting", "waiting.most.deep=1", "=3", "[waiting]=3"):
+        with pytest.raises(OperatorError):
+            read(None, {"RUSHSADDLE_WAITING__MOST": "5", "RUSHSADDLE_SET": bad}, {})
 
 
 def test_what_is_no_file_of_text(tmp_path: Path) -> None:
@@ -77,7 +107,10 @@
 def test_the_example_names_every_key_with_its_default() -> None:
     text = (ROOT / "deploy/operator.toml").read_text()
     assert read(str(ROOT / "deploy/operator.toml"), {}, {}) == Operator()
-    switched_on = tomllib.loads(re.sub(r"(?m)^# (\w+ = )", r"\1", text))
+    switched_on = tomllib.loads(re.sub(r"(?m)^# (\w+ = |\[)", r"\1", text))
     for section, record in SECTIONS.items():
-        defaults = {key: getattr(record(), key) for key in record.__struct_fields__}
-        assert switched_on[section] == defaults
+        if section != "limits":  # its keys have no defaults: what is not set is the platform's
+            defaults = {key: getattr(record(), key) for key in record.__struct_fields__}
+            assert switched_on[section] == defaults
+    assert set(switched_on["limits"]) == set(Limits.__struct_encode_fields__)
+    assert set(switched_on["limits"]["default"]) == set(LimitTable.__struct_fields__)
--- a/tests/play.py
+++ b/tests/play.py
@@ -9,6 +9,7 @@
     config moves to discovery2 | config names KEY JSON | config breaks
     pause 0.5 | signal TERM | node ends 0 | node says TEXT | node dies | node starts
     set operator waiting.store "{folder}"             a setting of the operator, by the environment
+    set assign limits.class.bulk-batch.attempts=1 | set routes /single-text/urgent
 
 The lines of a block are joined by CRLF; escapes such as ``\\n`` work, and ``{*}`` stands for any
 text within a line.  ``{h1}`` is the address of a next hop, ``{x*9}`` is nine times ``x``, ``{now+1.5}`` the
@@ -131,6 +132,12 @@
         match words:
             case ["set", "hops", *names]:
                 self.hops = names
+            case ["set", "assign", assignment]:
+                before = self.operator.get("RUSHSADDLE_SET", "")
+                self.operator["RUSHSADDLE_SET"] = f"{before}{assignment}\n"
+            case ["set", "routes", *paths]:
+                routes = ", ".join(f'{{match = "{path}"}}' for path in paths)
+                self.step(["set", "operator", "limits.route", f"[{routes}]"], "")
             case ["set", "operator", name, *value]:
                 section, key = name.split(".")
                 folder = str(self.folder / "kept")
