Limits are read in a thread of its own; routes bind their counters at their first request

Need: a reload of 10,000 routes must not stop the loop. Change: a shape (values, bounds, routes) is made off the loop; the swap binds classes alone, routes when they are first used; measure/limits_cost.py.

--- /dev/null
+++ b/measure/limits_cost.py
@@ -0,0 +1,161 @@
+"""What limits cost: a look-up among 10 and 10,000 routes, an admission, and the reload of a file of 10,000.
+
+    python -m measure.limits_cost [--rounds 7] [--json FILE]
+
+The reload's stalls are those of a loop like the node's, which a task times turn by turn while the file is
+read in the node's way, by a thread.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import random
+import statistics
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from rushsaddle.core.loop import Clock, Coroutine, Loop, Wait
+from rushsaddle.limits.build import Shape, build, shape_of
+from rushsaddle.limits.gate import Counters, Permit
+from rushsaddle.operator.load import read_with_source
+from rushsaddle.operator.records import Limits
+from rushsaddle.parts import Reader, Settled
+from tansygw.interface import Settings
+from tansygw.settings import settings_from
+
+from .rig import SETTINGS
+
+LOOKUPS = 50_000
+SIZES = (10, 10_000)
+
+
+def platform() -> Settings:
+    return settings_from(SETTINGS)[0]
+
+
+def table(count: int) -> dict[str, Any]:
+    return {
+        "default": {"retry_share": 0.2, "timeout": "4s"},
+        "class": {"single-text": {"in_flight": 10_000, "rate": 1e6, "burst": 1000}},
+        "route": [
+            {"match": f"/single-text/clinic-{n // 100}/list-{n}", "rate": 1e6, "burst": 1000}
+            for n in range(count)
+        ],
+    }
+
+
+def shape(count: int) -> Shape:
+    return shape_of(msgspec.convert(table(count), Limits), platform())
+
+
+def lookup_us(made: Shape, count: int) -> float:
+    draw = random.Random(1)
+    numbers = [draw.randrange(count) for _ in range(1000)]
+    paths = [b"/single-text/clinic-%d/list-%d/m" % (n // 100, n) for n in numbers]
+    began = time.process_time()
+    for n in range(LOOKUPS):
+        made.routes.find(paths[n % 1000])
+    return (time.process_time() - began) / LOOKUPS * 1e6
+
+
+def admit_us(made: Shape, count: int) -> float:
+    """An admission and its end."""
+    gate = build(made, platform(), 1, Counters(), 0)
+    paths = [b"/single-text/clinic-%d/list-%d/m" % (n // 100, n) for n in range(min(count, 1000))]
+    began = time.process_time()
+    for n in range(LOOKUPS):
+        permit = gate.admit(n * 100, 0, paths[n % len(paths)], 4_000_000)
+        if not isinstance(permit, Permit):
+            raise RuntimeError(f"refused: {permit}")
+        gate.over(n * 100 + 50, permit, True)
+    return (time.process_time() - began) / LOOKUPS * 1e6
+
+
+class Site:
+    """As much of a node as reads its settings."""
+
+    def __init__(self, path: Path) -> None:
+        clock = Clock()
+        self.loop = Loop(clock, self.failed)
+        self.settle = lambda: read_with_source(str(path), {}, {})
+        self.told = self
+        self.settings = platform()
+        self.gaps: list[float] = []
+        self.taken_ms = 0.0
+        self.read_s = 0.0
+
+    def failed(self, error: BaseException) -> None:
+        raise error
+
+    def beat(self, reader: Reader) -> Coroutine[None]:
+        """A turn every 200 us; the longest time between two of them is the stall."""
+        began = last = time.perf_counter()
+        reader.read()
+        while not self.taken_ms:
+            yield Wait(until_us=self.loop.now_us() + 200)
+            now = time.perf_counter()
+            self.gaps.append(now - last)
+            last = now
+        self.read_s = last - began
+        self.loop.stopped = True
+
+    def take(self, settled: Any) -> None:
+        if not isinstance(settled, Settled):
+            raise settled
+        assert settled.shape is not None
+        began = time.perf_counter()
+        build(settled.shape, self.settings, 2, self.counters, 0)
+        self.taken_ms = (time.perf_counter() - began) * 1e3
+
+    def run(self) -> dict[str, float]:
+        self.counters = Counters()
+        old = build(shape(SIZES[-1]), self.settings, 1, self.counters, 0)
+        for n in range(0, SIZES[-1], 10):  # a thousand routes are in use
+            old.admit(0, 0, b"/single-text/clinic-%d/list-%d" % (n // 100, n), 4_000_000)
+        reader = Reader(self, self.take)  # type: ignore[arg-type]
+        self.loop.spawn(self.beat(reader))
+        self.loop.run()
+        gaps = sorted(self.gaps)
+        return {
+            "read_s": self.read_s, "swap_ms": self.taken_ms, "stall_most_ms": gaps[-1] * 1e3,
+            "stall_p99_ms": gaps[int(len(gaps) * 0.99)] * 1e3,
+        }
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--rounds", type=int, default=7)
+    parser.add_argument("--json")
+    told = parser.parse_args()
+    shapes = {count: shape(count) for count in SIZES}
+    rows: list[dict[str, float]] = []
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "operator.toml"
+        lines = ["version = 1", "[limits.default]", 'timeout = "4s"']
+        for route in table(SIZES[-1])["route"]:
+            lines += ["[[limits.route]]", f'match = "{route["match"]}"', "rate = 1e6", "burst = 1000"]
+        path.write_text("\n".join(lines) + "\n")
+        for _ in range(told.rounds):
+            row = {}
+            for count in SIZES:
+                row[f"lookup_us_{count}"] = lookup_us(shapes[count], count)
+                row[f"admit_us_{count}"] = admit_us(shapes[count], count)
+            row["lookup_ratio"] = row[f"lookup_us_{SIZES[-1]}"] / row[f"lookup_us_{SIZES[0]}"]
+            rows.append(row | Site(path).run())
+    print("| figure | median | least | most |\n| --- | --- | --- | --- |")
+    for key in rows[0]:
+        values = sorted(row[key] for row in rows)
+        print(f"| {key} | {statistics.median(values):.2f} | {values[0]:.2f} | {values[-1]:.2f} |")
+    if told.json:
+        Path(told.json).write_text(json.dumps(rows) + "\n")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/rushsaddle/limits/build.py
+++ b/rushsaddle/limits/build.py
@@ -8,9 +8,12 @@
 
 from __future__ import annotations
 
+import zlib
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+import msgspec
+
 from tansygw.interface import Effect, RequestClass, Settings, Terms
 
 from ..operator.records import Limits, LimitTable, RouteTable, duration_us
@@ -163,32 +166,74 @@
     )
 
 
-def build(limits: Limits, settings: Settings, number: int, counters: Counters, now: int) -> Gate:
-    """One generation; raises nothing for limits without ``problems``."""
-    targets: list[Target] = []
-    routes: Routes[Target] = Routes()
-    for n, cls in enumerate(settings.classes):
-        table = limits.class_.get(cls.name, LimitTable())
-        rule = _rule(counters, f"class {cls.name}", bounds_of(table, limits.default), cls, now)
-        targets.append(_target(n, values_of(limits, cls, None, settings), rule, None))
-    density = [
-        c.worth / max(1.0, t.rule.key.usual_us) for c, t in zip(settings.classes, targets, strict=True)
-    ]
-    most = limits.open or 0
-    if settings.limits.max_open:
-        most = min(most, settings.limits.max_open) if most else 0
-    gate = Gate(number, counters, targets, routes, density, most)
+@dataclass(slots=True, frozen=True)
+class RouteShape:
+    """A route as the file has it; its counters are bound when its first request comes."""
+
+    cls: int
+    match: str
+    values: Values
+    bounds: Bounds
+
+
+@dataclass(slots=True, frozen=True)
+class Shape:
+    """All that one generation needs and that can be made off the loop's thread: nothing in it is counted."""
+
+    classes: tuple[tuple[Values, Bounds], ...]
+    routes: Routes[RouteShape]
+    names: frozenset[str]
+    most_open: int
+    checksum: int  # of the limits as they are in force
+
+
+def shape_of(limits: Limits, settings: Settings) -> Shape:
+    """The shape of limits that have no ``problems``; its cost grows with the file."""
+    classes = tuple(
+        (values_of(limits, c, None, settings),
+         bounds_of(limits.class_.get(c.name, LimitTable()), limits.default))
+        for c in settings.classes
+    )
+    routes: Routes[RouteShape] = Routes()
     by_name = {c.name: n for n, c in enumerate(settings.classes)}
     for place, table in enumerate(limits.route):
         parts = _parts(table)
         assert not isinstance(parts, str)
-        n = by_name[parts[0].decode("latin-1")]
-        cls = settings.classes[n]
-        own = _rule(counters, f"route {table.match}", bounds_of(table), cls, now)
-        values = values_of(limits, cls, place, settings)
-        routes.add(table.match.encode(), _target(n, values, targets[n].rule, own))
-        gate.join(targets[n].rule.key.name, own.key)
-    counters.drop([t.rule.key.name for t in targets] + [f"route {r.match}" for r in limits.route])
+        cls = by_name[parts[0].decode("latin-1")]
+        values = values_of(limits, settings.classes[cls], place, settings)
+        routes.add(table.match.encode(), RouteShape(cls, table.match, values, bounds_of(table)))
+    names = [f"class {c.name}" for c in settings.classes] + [f"route {r.match}" for r in limits.route]
+    most = limits.open or 0
+    if settings.limits.max_open and most:
+        most = min(most, settings.limits.max_open)
+    checksum = zlib.crc32(msgspec.json.encode(limits, order="deterministic"))
+    return Shape(classes, routes, frozenset(names), most, checksum)
+
+
+def build(shape: Shape, settings: Settings, number: int, counters: Counters, now: int) -> Gate:
+    """One generation; its cost grows with the classes and the keys in use, not with the routes."""
+    targets: list[Target] = []
+    for n, (cls, (values, bounds)) in enumerate(zip(settings.classes, shape.classes, strict=True)):
+        rule = _rule(counters, f"class {cls.name}", bounds, cls, now)
+        targets.append(_target(n, values, rule, None))
+    density = [
+        c.worth / max(1.0, t.rule.key.usual_us) for c, t in zip(settings.classes, targets, strict=True)
+    ]
+    bound: dict[str, Target] = {}
+
+    def target(cls: int, path: bytes, at: int) -> Target:
+        found = shape.routes.find(path)
+        if found is None or found.cls != cls:
+            return targets[cls]
+        known = bound.get(found.match)
+        if known is None:
+            own = _rule(counters, f"route {found.match}", found.bounds, settings.classes[cls], at)
+            known = bound[found.match] = _target(cls, found.values, targets[cls].rule, own)
+            gate.join(targets[cls].rule.key.name, own.key)
+        return known
+
+    gate = Gate(number, counters, target, density, shape.most_open)
+    counters.drop(shape.names)
     return gate
 
 
--- a/rushsaddle/limits/gate.py
+++ b/rushsaddle/limits/gate.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -18,7 +18,6 @@
 from .adaptive import Adaptive
 from .budget import RetryBudget
 from .rate import Rate
-from .routes import Routes
 from .values import Bounds, Values
 
 BACK_LEAST_US = 10_000
@@ -68,9 +67,8 @@
     def key(self, name: str, usual_us: float) -> Key:
         return self.keys.setdefault(name, Key(name, usual_us))
 
-    def drop(self, kept: Iterable[str]) -> None:
+    def drop(self, names: frozenset[str]) -> None:
         """Forget keys that no generation names any more and that hold nothing."""
-        names = set(kept)
         for name in [n for n, key in self.keys.items() if n not in names and not key.in_flight]:
             del self.keys[name]
 
@@ -117,13 +115,12 @@
     at once in all, 0 for no bound."""
 
     def __init__(
-        self, number: int, counters: Counters, targets: list[Target], routes: Routes[Target],
+        self, number: int, counters: Counters, target: Callable[[int, bytes, int], Target],
         density: list[float], most_open: int,
     ) -> None:
         self.number = number
         self.counters = counters
-        self.targets = targets  # by class
-        self.routes = routes
+        self.target = target  # of a class and path; raises OddPath where it could be that of another route
         self.most_open = most_open
         best = max(density, default=1.0) or 1.0
         self.standing = [d / best for d in density]  # 1 for what is worth most for its time
@@ -132,16 +129,11 @@
         self._fair: dict[str, tuple[float, float]] = {}  # by class: a share, and what is kept
         self._members: dict[str, list[Key]] = {}
 
-    def target(self, cls: int, path: bytes) -> Target:
-        """What bounds a request; raises OddPath where its path could be read as that of another route."""
-        found = self.routes.find(path)
-        return found if found is not None and found.cls == cls else self.targets[cls]
-
     def admit(
         self, now: int, cls: int, path: bytes, left_us: int, repeat: bool = False
     ) -> Permit | Refusal:
         """Let a request in, or say which limit it met; nothing is counted for one that is refused."""
-        target = self.target(cls, path)
+        target = self.target(cls, path, now)
         rules = (target.rule,) if target.route is None else (target.route, target.rule)
         usual = target.rule.key.usual_us
         left = min(left_us, target.values.timeout_us)
--- a/rushsaddle/limits/service.py
+++ b/rushsaddle/limits/service.py
@@ -2,18 +2,14 @@
 
 from __future__ import annotations
 
-import zlib
 from collections.abc import Callable
 
-import msgspec
-
 from tansygw.interface import Settings
 
 from ..core.log import Log
 from ..core.transaction import Transaction, Verdict
 from ..net.caller import Admitted, Turned
-from ..operator.records import Limits
-from .build import build
+from .build import Shape, build
 from .gate import Counters, Gate, Limit, Permit
 from .routes import OddPath
 
@@ -35,7 +31,7 @@
 
 
 class Limiter:
-    def __init__(self, now_us: Callable[[], int], log: Log, settings: Settings, limits: Limits) -> None:
+    def __init__(self, now_us: Callable[[], int], log: Log, settings: Settings, shape: Shape) -> None:
         self.now_us = now_us
         self.log = log
         self.settings = settings
@@ -45,21 +41,21 @@
         self._told_us = 0
         self._number = 0
         self.checksum = 0
-        self.gate = self._build(limits)
+        self.gate = self._build(shape)
 
-    def _build(self, limits: Limits) -> Gate:
+    def _build(self, shape: Shape) -> Gate:
         self._number += 1
-        self.checksum = zlib.crc32(msgspec.json.encode(limits, order="deterministic"))
-        gate = build(limits, self.settings, self._number, self.counters, self.now_us())
+        self.checksum = shape.checksum
+        gate = build(shape, self.settings, self._number, self.counters, self.now_us())
         self.log.event(
             "limits in force", generation=self._number, checksum=f"{self.checksum:08x}",
-            routes=len(limits.route),
+            keys=len(shape.names),
         )
         return gate
 
-    def swap(self, limits: Limits) -> None:
+    def swap(self, shape: Shape) -> None:
         """A new generation, in one assignment; requests that are open keep theirs."""
-        new = self._build(limits)
+        new = self._build(shape)
         self.old = [gate for gate in (*self.old, self.gate) if gate.open]
         self.gate = new
 
--- a/rushsaddle/node.py
+++ b/rushsaddle/node.py
@@ -24,8 +24,9 @@
 
 if TYPE_CHECKING:  # read only where an operator has set something: the platform's node stays lean
     from .limits.service import Limiter
-    from .operator.load import Source
+    from .operator.load import OperatorError, Source
     from .operator.records import Operator
+    from .parts import Reader, Settled
     from .waiting.service import Waiting
 
 Settle = Callable[[], "tuple[Operator, Source] | None"]
@@ -62,8 +63,13 @@
         clock = Clock()
         self.code = 0
         self.settle = settle  # reads what the operator has set
-        settled = settle()
-        self.operator = settled[0] if settled is not None else None
+        self.operator: Operator | None = None
+        settled: Settled | None = None
+        if (found := settle()) is not None:
+            from .parts import Settled
+
+            settled = Settled(*found, told.settings)
+            self.operator = settled.operator
         self.log = Log(told.name, clock.now_us)
         if self.operator is not None:
             from .structured import StructuredLog
@@ -96,10 +102,11 @@
 
             self.waiting = waiting_part(self, self.operator.waiting)
         self.limiter: Limiter | None = None
-        if settled is not None and settled[0].limits is not None:
+        if settled is not None and settled.shape is not None:
             from .parts import limit_part
 
-            self.limiter = limit_part(self, *settled)
+            self.limiter = limit_part(self, settled.shape)
+        self.reader: Reader | None = None
 
     def run(self, signals: socket.socket) -> int:
         """Serve until a signal to end; raises OSError where the address is not to be had."""
@@ -154,18 +161,21 @@
 
     def _reload_operator(self) -> None:
         """Take the operator's settings as they are now, whole or not at all."""
-        from .operator.load import OperatorError
-        from .parts import take
+        if self.reader is None:
+            from .parts import Reader
 
-        began = self.loop.now_us()
-        try:
-            settled = self.settle()
-            late = take(self, *settled) if settled is not None else []
-        except OperatorError as error:
-            self.log.error("operator's settings kept", error, faults=len(error.faults))
+            self.reader = Reader(self, self._take_operator)
+        self.reader.read()
+
+    def _take_operator(self, settled: Settled | OperatorError) -> None:
+        from .parts import Settled, take
+
+        if not isinstance(settled, Settled):
+            self.log.error("operator's settings kept", settled, faults=len(settled.faults))
             return
-        us = self.loop.now_us() - began
-        self.log.event("operator's settings read", at_next_start=late, us=us)
+        began = self.loop.now_us()
+        late = take(self, settled)
+        self.log.event("operator's settings read", at_next_start=late, us=self.loop.now_us() - began)
 
     def _drain(self) -> Coroutine[None]:
         """Take what is on the way, finish what is held, stop."""
--- a/rushsaddle/parts.py
+++ b/rushsaddle/parts.py
@@ -4,13 +4,18 @@
 
 import select
 import socket
+import sys
+import threading
+from collections.abc import Callable
 from contextlib import suppress
 from pathlib import Path
 from typing import TYPE_CHECKING
 
+from tansygw.interface import Settings
+
 from .core.loop import Coroutine, Loop, Wait
 from .core.transaction import Transaction
-from .limits.build import problems
+from .limits.build import Shape, problems, shape_of
 from .limits.service import Limiter
 from .net.desk import WaitDesk
 from .net.jobs import HttpFront
@@ -24,6 +29,10 @@
     from .node import Node
 
 
+USUAL_S = sys.getswitchinterval()
+SHORT_S = 0.0005  # while a file is read the loop must get its turn back soon
+
+
 def rules_of(section: Section) -> Rules:
     return Rules(
         section.most, section.pace, section.reserve, duration_us(section.longest),
@@ -51,11 +60,77 @@
     return waiting
 
 
-def limit_part(node: Node, operator: Operator, source: Source) -> Limiter:
-    """Limits by class and route, joined to a node; raises OperatorError where they break the rules."""
-    assert operator.limits is not None
-    check(node, operator, source)
-    limiter = Limiter(node.loop.now_us, node.log, node.told.settings, operator.limits)
+class Settled:
+    """The operator's settings, checked against the platform's and ready to be taken."""
+
+    def __init__(self, operator: Operator, source: Source, platform: Settings) -> None:
+        self.operator = operator
+        self.shape: Shape | None = None
+        if operator.limits is not None:
+            for at, reason in problems(operator.limits, platform):
+                source.fault(at, reason)
+            if source.faults:
+                raise OperatorError(source.faults)
+            self.shape = shape_of(operator.limits, platform)
+
+
+class Reader:
+    """Reads the operator's settings again in a thread of its own, so that a large file does not stop the
+    loop.
+
+    One file is read at a time; a call meanwhile has it read once more.  ``done`` is called in the loop's
+    thread.
+    """
+
+    def __init__(self, node: Node, done: Callable[[Settled | OperatorError], None]) -> None:
+        self._node = node
+        self._done = done
+        self._again = False
+        self._result: Settled | OperatorError | None = None
+        self._thread: threading.Thread | None = None
+        self._wakes, self._far = socket.socketpair()
+        self._wakes.setblocking(False)
+        self._far.setblocking(False)
+        node.loop.spawn(self._collect())
+
+    def read(self) -> None:
+        if self._thread is not None:
+            self._again = True
+            return
+        sys.setswitchinterval(SHORT_S)
+        self._thread = threading.Thread(target=self._run, name="operator", daemon=True)
+        self._thread.start()
+
+    def _run(self) -> None:
+        try:
+            settled = self._node.settle()
+            assert settled is not None
+            self._result = Settled(*settled, self._node.told.settings)
+        except OperatorError as error:
+            self._result = error
+        except Exception as error:  # the old settings stay in force whatever happens here
+            self._result = OperatorError([f"reading failed: {type(error).__name__}: {error}"])
+        _wake(self._far)
+
+    def _collect(self) -> Coroutine[None]:
+        while True:
+            yield Wait(self._wakes.fileno(), select.EPOLLIN)
+            self._wakes.recv(4096)
+            if self._thread is None or self._result is None:
+                continue
+            self._thread.join()
+            sys.setswitchinterval(USUAL_S)
+            self._thread = None
+            result, self._result = self._result, None
+            self._done(result)
+            if self._again:
+                self._again = False
+                self.read()
+
+
+def limit_part(node: Node, shape: Shape) -> Limiter:
+    """Limits by class and route, joined to a node."""
+    limiter = Limiter(node.loop.now_us, node.log, node.told.settings, shape)
     node.callers.limiter = limiter
     before = node.decider.on_over
 
@@ -68,25 +143,15 @@
     return limiter
 
 
-def check(node: Node, operator: Operator, source: Source) -> None:
-    """What the file cannot show by itself: whether its limits fit the platform's settings."""
-    if operator.limits is not None:
-        for at, reason in problems(operator.limits, node.told.settings):
-            source.fault(at, reason)
-    if source.faults:
-        raise OperatorError(source.faults)
-
-
-def take(node: Node, operator: Operator, source: Source) -> list[str]:
-    """The settings as they are now, whole or not at all; what waits for the next start.  Nothing is taken
-    before all is checked."""
-    check(node, operator, source)
-    old, node.operator = node.operator, operator
+def take(node: Node, settled: Settled) -> list[str]:
+    """The settings as they are now, all at once; what waits for the next start."""
+    operator, old = settled.operator, node.operator
+    node.operator = operator
     assert old is not None
     if node.waiting is not None:
         take_waiting(node, operator.waiting)
     if node.limiter is not None:
-        node.limiter.swap(operator.limits if operator.limits is not None else Limits())
+        node.limiter.swap(settled.shape or shape_of(Limits(), node.told.settings))
     pairs = {
         "waiting.enabled": (old.waiting.enabled, operator.waiting.enabled),
         "waiting.store": (old.waiting.store, operator.waiting.store), "log.format": (old.log, operator.log),
--- a/tests/limits/test_gate.py
+++ b/tests/limits/test_gate.py
@@ -10,7 +10,7 @@
 from hypothesis import settings as run_settings
 from hypothesis import strategies as st
 
-from rushsaddle.limits.build import build, problems, values_of
+from rushsaddle.limits.build import build, problems, shape_of, values_of
 from rushsaddle.limits.gate import Counters, Gate, Limit, Permit, Refusal
 from rushsaddle.operator.records import Limits
 from tansygw.interface import (
@@ -41,7 +41,8 @@
 
 
 def gate(given: Limits, counters: Counters | None = None, now: int = 0, **more: Any) -> Gate:
-    return build(given, platform(**more), 1, counters or Counters(), now)
+    here = platform(**more)
+    return build(shape_of(given, here), here, 1, counters or Counters(), now)
 
 
 def let_in(g: Gate, count: int, cls: int = 0, path: bytes = b"/single-text", now: int = 0) -> list[Permit]:
@@ -88,10 +89,10 @@
     ])
     assert list(problems(good, platform())) == []
     g = gate(good)
-    plain, urgent = g.target(0, b"/single-text/x"), g.target(0, b"/single-text/urgent/1")
+    plain, urgent = g.target(0, b"/single-text/x", 0), g.target(0, b"/single-text/urgent/1", 0)
     assert (plain.terms.second_copies, plain.values.timeout_us) == (False, 4 * SECOND)
     assert (urgent.terms.second_copies, urgent.values.timeout_us) == (True, 2 * SECOND)
-    assert g.target(1, b"/bulk-batch").terms.second_copies is False
+    assert g.target(1, b"/bulk-batch", 0).terms.second_copies is False
 
 
 NUMBERS = st.one_of(st.none(), st.integers(1, 8))
@@ -133,10 +134,11 @@
     now, number = 0, 1
 
     def made() -> Gate:
-        return build(limits(**{
+        new = limits(**{
             "class": {"single-text": {"in_flight": bound, "adaptive": True}},
             "route": [{"match": f"/single-text/r{n}", "in_flight": route_bound} for n in range(3)],
-        }), platform(), number, counters, now)
+        })
+        return build(shape_of(new, platform()), platform(), number, counters, now)
 
     g = made()
     out: list[tuple[Gate, Permit, str]] = []
@@ -175,8 +177,9 @@
     g = gate(limits(default={"rate": 10.0, "burst": 5, "in_flight": 50}), counters)
     first = let_in(g, 20)
     assert len(first) == 5
+    shape = shape_of(limits(default={"rate": 10.0, "burst": 5, "in_flight": 2}), platform())
     for number in range(50):  # fifty reloads in the same second
-        g = build(limits(default={"rate": 10.0, "burst": 5, "in_flight": 2}), platform(), number, counters, 0)
+        g = build(shape, platform(), number, counters, 0)
         assert not let_in(g, 3)
     refusal = g.admit(SECOND, 0, b"/single-text", 5 * SECOND)
     assert isinstance(refusal, Refusal) and refusal.limit is Limit.IN_FLIGHT  # lowered under what is out
