Cheaper plan and admission: fewer calls, no scans of emptied dicts

A plain dict that loses its front is scanned at each look, which a full memory of outcomes would have made slow. Change: ordered dict, one heap operation for a timer that moves on, limits asked in one loop.

--- a/rushsaddle/limits/gate.py
+++ b/rushsaddle/limits/gate.py
@@ -93,6 +93,10 @@
     rule: Rule
     route: Rule | None = None
     budget: RetryBudget | None = None
+    rules: tuple[Rule, ...] = ()  # asked in this order
+
+    def __post_init__(self) -> None:
+        self.rules = (self.rule,) if self.route is None else (self.route, self.rule)
 
 
 @dataclass(slots=True, frozen=True)
@@ -104,8 +108,9 @@
 
 @dataclass(slots=True)
 class Permit:
-    """A request that was let in; given back once, by ``Gate.over``."""
+    """A request that was let in by a generation; given back once, by its ``over``."""
 
+    gate: Gate
     target: Target
     began_us: int
 
@@ -134,36 +139,42 @@
     ) -> Permit | Refusal:
         """Let a request in, or say which limit it met; nothing is counted for one that is refused."""
         target = self.target(cls, path, now)
-        rules = (target.rule,) if target.route is None else (target.route, target.rule)
-        usual = target.rule.key.usual_us
-        left = min(left_us, target.values.timeout_us)
-        if usual and left < LEFT_LEAST * usual:
+        rules = target.rules
+        least = LEFT_LEAST * target.rule.key.usual_us
+        if left_us < least or target.values.timeout_us < least:
             return self._refuse(now, Limit.DEADLINE, target.rule.key, 0)
         for rule in rules:
-            if refusal := self._over_bounds(now, rule):
+            key, bounds = rule.key, rule.bounds
+            rate = key.rate
+            if (
+                (rate is not None and rate.next_us - rate.slack_us > now)
+                or (bounds.in_flight and key.in_flight >= bounds.in_flight)
+                or bounds.adaptive
+            ) and (refusal := self._over_bounds(now, rule)):
                 return refusal
         if target.route is not None and (refusal := self._unfair(now, target)):
             return refusal
-        if refusal := self._shed(now, target, repeat):
+        if self.most_open and (refusal := self._shed(now, target, repeat)):
             return refusal
         for rule in rules:
             key = rule.key
-            if key.rate is not None and rule.bounds.rate:
+            if key.rate is not None:
                 key.rate.take(now)
             key.in_flight += 1
             key.last_us = now
-            key.peak = max(key.peak, float(key.in_flight))
+            if key.in_flight > key.peak:
+                key.peak = float(key.in_flight)
         self.counters.whole.in_flight += 1
         self.open += 1
         if target.budget is not None:
             target.budget.first()
-        return Permit(target, now)
+        return Permit(self, target, now)
 
     def over(self, now: int, permit: Permit, served: bool) -> None:
         """A request that was let in has its answer, or its caller has left."""
         target = permit.target
         took = max(1, now - permit.began_us)
-        for rule in (target.rule,) if target.route is None else (target.route, target.rule):
+        for rule in target.rules:
             key = rule.key
             if key.adaptive is not None:
                 key.adaptive.answered(now, took, key.in_flight, served)
@@ -177,7 +188,7 @@
 
     def _over_bounds(self, now: int, rule: Rule) -> Refusal | None:
         key, bounds = rule.key, rule.bounds
-        if bounds.rate and key.rate is not None and (wait := key.rate.wait_us(now)):
+        if key.rate is not None and (wait := key.rate.wait_us(now)):
             return self._refuse(now, Limit.RATE, key, wait, key.rate.gap_us)
         if bounds.in_flight and key.in_flight >= bounds.in_flight:
             turn = self._turn_us(key, bounds.in_flight)
@@ -192,6 +203,8 @@
         rule, route = target.rule, target.route
         assert route is not None
         most = rule.bounds.in_flight
+        if 2 * rule.key.in_flight < most and not rule.bounds.adaptive:
+            return None  # there is room for all
         if rule.bounds.adaptive and rule.key.adaptive is not None:
             most = min(most or rule.key.adaptive.limit, rule.key.adaptive.limit)
         if not most:
@@ -222,8 +235,6 @@
 
     def _shed(self, now: int, target: Target, repeat: bool) -> Refusal | None:
         """When the node is nearly full, what is worth least for its time stays out first."""
-        if not self.most_open:
-            return None
         fill = self.counters.whole.in_flight / self.most_open
         if fill < SHED_FROM:
             return None
--- a/rushsaddle/limits/rate.py
+++ b/rushsaddle/limits/rate.py
@@ -10,17 +10,18 @@
 class Rate:
     """``rate`` requests a second, ``burst`` of them at once."""
 
-    __slots__ = ("burst", "gap_us", "next_us")
+    __slots__ = ("burst", "gap_us", "next_us", "slack_us")
 
     def __init__(self, rate: float, burst: int) -> None:
         self.gap_us = 1e6 / rate
         self.burst = burst
+        self.slack_us = (burst - 1) * self.gap_us  # how early a request may come
         self.next_us = 0.0  # the theoretical arrival time of the next request
 
     def wait_us(self, now: int) -> int:
         """How long until one more fits; 0: now."""
-        early = self.next_us - (self.burst - 1) * self.gap_us - now
-        return max(0, -int(-early // 1)) if early > 0 else 0
+        early = self.next_us - self.slack_us - now
+        return -int(-early // 1) if early > 0 else 0
 
     def take(self, now: int) -> None:
         self.next_us = max(self.next_us, float(now)) + self.gap_us
--- a/rushsaddle/limits/service.py
+++ b/rushsaddle/limits/service.py
@@ -20,16 +20,6 @@
 TOLD_EVERY_US = 1_000_000  # refusals are counted, and logged so often at the most
 
 
-class Held:
-    """A permit and the generation that it was given under."""
-
-    __slots__ = ("gate", "permit")
-
-    def __init__(self, gate: Gate, permit: Permit) -> None:
-        self.gate = gate
-        self.permit = permit
-
-
 class Limiter:
     def __init__(self, now_us: Callable[[], int], log: Log, settings: Settings, shape: Shape) -> None:
         self.now_us = now_us
@@ -67,7 +57,7 @@
             return Turned(400, str(error), 0)
         if isinstance(found, Permit):
             values = found.target.values
-            return Admitted(values.timeout_us, found.target.terms, Held(gate, found))
+            return Admitted(values.timeout_us, found.target.terms, found)
         key = (found.key, found.limit.value)
         self.refused[key] = self.refused.get(key, 0) + 1
         if now - self._told_us > TOLD_EVERY_US:
@@ -80,14 +70,14 @@
 
     def over(self, transaction: Transaction) -> None:
         """A transaction has its answer, or its caller has left."""
-        held = transaction.permit
-        if not isinstance(held, Held):
+        permit = transaction.permit
+        if not isinstance(permit, Permit):
             return
         transaction.permit = None
         answer = transaction.answer
         served = answer is not None and answer.verdict is Verdict.SERVED
-        held.gate.over(self.now_us(), held.permit, served)
-        if self.old and not held.gate.open:
+        permit.gate.over(self.now_us(), permit, served)
+        if self.old and not permit.gate.open:
             self.old = [gate for gate in self.old if gate.open]
 
     def shown(self) -> dict[str, object]:
--- a/rushsaddle/net/caller.py
+++ b/rushsaddle/net/caller.py
@@ -91,7 +91,7 @@
     def shown(self) -> dict[str, object]: ...
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Admitted:
     """Let in: for at most ``timeout_us``, under ``terms``; ``permit`` is the limiter's own."""
 
--- a/rushsaddle/waiting/plan.py
+++ b/rushsaddle/waiting/plan.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import heapq
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from enum import Enum, StrEnum
@@ -65,14 +65,14 @@
     what: object = None
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Release:
     """Offer the job to the decisions now."""
 
     job: Job
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class End:
     """The job's one final answer: it is never offered."""
 
@@ -81,7 +81,7 @@
     retry_after_us: int = 0
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Met:
     """A job that goes on waiting no longer waits for this one, which was served."""
 
@@ -119,14 +119,16 @@
     def __init__(self, keep_us: int, most: int) -> None:
         self.keep_us = keep_us
         self.most = most
-        self._known: dict[str, tuple[int, bool]] = {}  # in the order of their times
+        # In the order of their times.  A plain dict would look through all that it has lost at its front.
+        self._known: OrderedDict[str, tuple[int, bool]] = OrderedDict()
 
     def add(self, now: int, name: str, good: bool) -> None:
         known = self._known
-        known.pop(name, None)
+        if name in known:
+            del known[name]
         known[name] = (now, good)
-        if len(known) > self.most:
-            del known[next(iter(known))]
+        while len(known) > self.most:
+            known.popitem(last=False)
 
     def get(self, now: int, name: str) -> bool | None:
         found = self._known.get(name)
@@ -270,12 +272,15 @@
     def step(self, now: int) -> list[Action]:
         """What is to be done at this moment, in order.  Work is bounded; ``next_us`` tells of a rest."""
         budget = self._fire(now, STEP_MOST)
-        self._spread(now, max(1, budget))
+        if self._news:
+            self._spread(now, max(1, budget))
         if self.paced and self.ready and now >= self._review_at:
             self._review_at = now + REVIEW_US
             self._review(now)
-        actions: list[Action] = [*self._met, *self.ended()]
-        self._met.clear()
+        actions: list[Action] = []
+        if self._met or self._ends:
+            actions = [*self._met, *self.ended()]
+            self._met.clear()
         for _ in range(min(STEP_MOST, self.ready)):
             job = self._choose()
             if self.paced and not self.room.fits(now, job.slots):
@@ -292,18 +297,17 @@
         heapq.heappush(self._timers, (when, self._count, job))
 
     def _fire(self, now: int, budget: int) -> int:
-        timers = self._timers
-        while timers and timers[0][0] <= now and budget:
-            _, _, job = heapq.heappop(timers)
+        while budget and (timers := self._timers) and timers[0][0] <= now:
+            _, count, job = timers[0]
             budget -= 1
-            if job.state is State.OVER or job.state is State.RELEASED:
-                self._dead -= 1
-            elif now >= job.give_up:
-                self._dead -= 1  # _leave counts its timer as one that still lies here
-                self._end(now, job, Why.LATE)
-            else:
-                self._at(job.give_up, job)
+            if job.state in LIVE and now < job.give_up:
+                heapq.heapreplace(timers, (job.give_up, count, job))  # due: next it can only be given up
                 self._one_less(job)
+                continue
+            heapq.heappop(timers)
+            self._dead -= 1
+            if job.state in LIVE:
+                self._end(now, job, Why.LATE)
         return budget
 
     def _spread(self, now: int, budget: int) -> None:
@@ -346,21 +350,22 @@
 
     def _leave(self, job: Job) -> None:
         """It is no longer waiting or ready; its entries in heaps are passed over when they come up."""
-        if job.state is State.READY:
+        state, job.state = job.state, State.OVER
+        if state is State.READY:
             self.ready -= 1
             self._sizes[job.cls] -= 1
             self._departed += 1
-        if job.state in LIVE:
-            self._dead += 1
-            if job.state is State.WAITING and job.after:
-                self._unneeded += len(job.after)
-        job.state = State.OVER
-        if self._dead > max(DEAD_LEAST, len(self._timers) // 2):
+        elif state is not State.WAITING:
+            return  # it was released: nothing of it lies here
+        elif job.after:
+            self._unneeded += len(job.after)
+            if self._unneeded > DEAD_LEAST and self._unneeded > self._needs_in_all // 2:
+                self._clear_needed()
+        self._dead += 1
+        if self._dead > DEAD_LEAST and self._dead > len(self._timers) // 2:
             self._timers = [entry for entry in self._timers if entry[2].state in LIVE]
             heapq.heapify(self._timers)
             self._dead = 0
-        if self._unneeded > max(DEAD_LEAST, self._needs_in_all // 2):
-            self._clear_needed()
 
     def _clear_needed(self) -> None:
         """Drop ended jobs from the lists of who waits for whom.  One by one a fan of thousands would cost its
