--- a/measure/limits_cost.py
+++ b/measure/limits_cost.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import argparse
+import gc
 import json
 import random
 import statistics
@@ -23,6 +24,7 @@
 from rushsaddle.core.loop import Clock, Coroutine, Loop, Wait
 from rushsaddle.limits.build import Shape, build, shape_of
 from rushsaddle.limits.gate import Counters, Permit
+from rushsaddle.node import GC
 from rushsaddle.operator.load import read_with_source
 from rushsaddle.operator.records import Limits
 from rushsaddle.parts import Reader, Settled
@@ -133,6 +135,8 @@
     parser.add_argument("--rounds", type=int, default=7)
     parser.add_argument("--json")
     told = parser.parse_args()
+    gc.freeze()
+    gc.set_threshold(*GC)  # as the node sets it
     shapes = {count: shape(count) for count in SIZES}
     rows: list[dict[str, float]] = []
     with tempfile.TemporaryDirectory() as folder:
--- a/rushsaddle/limits/build.py
+++ b/rushsaddle/limits/build.py
@@ -206,7 +206,9 @@
     most = limits.open or 0
     if settings.limits.max_open and most:
         most = min(most, settings.limits.max_open)
-    checksum = zlib.crc32(msgspec.json.encode(limits, order="deterministic"))
+    checksum = 0
+    for part in (limits.default, limits.class_, limits.open, *limits.route):  # in short calls: see Reader
+        checksum = zlib.crc32(msgspec.json.encode(part, order="deterministic"), checksum)
     return Shape(classes, routes, frozenset(names), most, checksum)
 
 
--- a/rushsaddle/operator/lines.py
+++ b/rushsaddle/operator/lines.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import io
 import re
 
 Path = tuple[str | int, ...]
@@ -17,7 +18,7 @@
     found: dict[Path, int] = {}
     counts: dict[Path, int] = {}
     table: Path = ()
-    for number, line in enumerate(text.splitlines(), 1):
+    for number, line in enumerate(io.StringIO(text), 1):  # one by one: a split of it all would hold up others
         if header := HEADER.match(line):
             name = tuple(part.strip("\"'") for part in PART.findall(header[2]))
             table = name
--- a/rushsaddle/operator/load.py
+++ b/rushsaddle/operator/load.py
@@ -10,6 +10,7 @@
 import math
 import tomllib
 from collections.abc import Iterable, Mapping
+from functools import cache
 from pathlib import Path
 from typing import Any, get_args, get_origin, get_type_hints
 
@@ -107,8 +108,7 @@
     if not isinstance(table, dict):
         source.fault(at, "not a table")
         return record()
-    hints = get_type_hints(record, include_extras=True)
-    fields = dict(zip(record.__struct_encode_fields__, record.__struct_fields__, strict=True))
+    hints, fields = _fields_of(record)
     values: dict[str, Any] = {}
     for name, value in table.items():
         here, key = (*at, name), fields.get(name, "")
@@ -131,6 +131,13 @@
     return record(**values)
 
 
+@cache
+def _fields_of(record: type[msgspec.Struct]) -> tuple[dict[str, Any], dict[str, str]]:
+    """The types of a record's fields, and the fields by their names in the file."""
+    names = dict(zip(record.__struct_encode_fields__, record.__struct_fields__, strict=True))
+    return get_type_hints(record, include_extras=True), names
+
+
 def _records_in(hint: Any) -> tuple[str, type[msgspec.Struct]] | None:
     """Whether a key holds one record, several by name, or a list of them."""
     if isinstance(hint, type) and issubclass(hint, msgspec.Struct):
--- a/rushsaddle/parts.py
+++ b/rushsaddle/parts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import select
 import socket
 import sys
@@ -98,6 +99,7 @@
             self._again = True
             return
         sys.setswitchinterval(SHORT_S)
+        gc.disable()  # a collection in the middle of so many new objects would stop both threads
         self._thread = threading.Thread(target=self._run, name="operator", daemon=True)
         self._thread.start()
 
@@ -120,6 +122,8 @@
                 continue
             self._thread.join()
             sys.setswitchinterval(USUAL_S)
+            gc.freeze()
+            gc.enable()
             self._thread = None
             result, self._result = self._result, None
             self._done(result)
