--- a/rushsaddle/limits/service.py
+++ b/rushsaddle/limits/service.py
@@ -6,9 +6,9 @@
 
 from tansygw.interface import Settings
 
+from ..core.admission import Admitted, Turned
 from ..core.log import Log
 from ..core.transaction import Transaction, Verdict
-from ..net.caller import Admitted, Turned
 from .build import Shape, build
 from .gate import Counters, Gate, Limit, Permit
 from .routes import OddPath
@@ -54,7 +54,7 @@
         try:
             found = gate.admit(now, cls, path, left_us, repeat)
         except OddPath as error:
-            return Turned(400, str(error), 0)
+            return Turned(400, str(error), 0, again=False)
         if isinstance(found, Permit):
             values = found.target.values
             return Admitted(values.timeout_us, found.target.terms, found)
@@ -66,7 +66,8 @@
         back = 0
         if self.settings.limits.retry_after and found.limit is not Limit.DEADLINE:
             back = min(found.back_us, self.settings.limits.max_retry_after_us or found.back_us)
-        return Turned(STATUS[found.limit], f"{found.limit.value} of {found.key}", back)
+        again = found.limit is not Limit.DEADLINE
+        return Turned(STATUS[found.limit], f"{found.limit.value} of {found.key}", back, again)
 
     def over(self, transaction: Transaction) -> None:
         """A transaction has its answer, or its caller has left."""
--- a/rushsaddle/net/caller.py
+++ b/rushsaddle/net/caller.py
@@ -8,7 +8,6 @@
 import select
 import socket
 from collections.abc import Mapping
-from dataclasses import dataclass
 from http import HTTPStatus
 from itertools import islice
 from typing import Any, Protocol
@@ -16,8 +15,9 @@
 import h11
 import orjson
 
-from tansygw.interface import ANY_TERMS, Terms
+from tansygw.interface import ANY_TERMS
 
+from ..core.admission import Limiter, Turned
 from ..core.decider import Decider
 from ..core.log import Log
 from ..core.loop import Coroutine, Loop, Task, Wait
@@ -83,32 +83,6 @@
     ) -> Coroutine[bool]: ...
 
 
-class Limiter(Protocol):
-    """Lets requests in, or refuses them, before the decisions hear of them."""
-
-    def admit(self, cls: int, path: bytes, left_us: int, repeat: bool) -> Admitted | Turned: ...
-
-    def shown(self) -> dict[str, object]: ...
-
-
-@dataclass(slots=True)
-class Admitted:
-    """Let in: for at most ``timeout_us``, under ``terms``; ``permit`` is the limiter's own."""
-
-    timeout_us: int
-    terms: Terms
-    permit: object
-
-
-@dataclass(slots=True, frozen=True)
-class Turned:
-    """Refused: the status, why, and when to come back (0: nothing is told)."""
-
-    status: int
-    why: str
-    back_us: int
-
-
 class Leg:
     __slots__ = ("evicted", "idle", "opened_us", "proven", "stream", "task")
 
--- a/rushsaddle/net/jobs.py
+++ b/rushsaddle/net/jobs.py
@@ -110,6 +110,10 @@
         )
         return Request(name, method, target, headers, body)
 
+    def path(self, payload: object) -> bytes:
+        assert isinstance(payload, Request)
+        return payload.target.partition(b"?")[0]
+
     def status(self, answer: Answer) -> int:
         return status_of(answer)
 
--- a/rushsaddle/operator/load.py
+++ b/rushsaddle/operator/load.py
@@ -8,6 +8,7 @@
 
 import difflib
 import math
+import re
 import tomllib
 from collections.abc import Iterable, Mapping
 from functools import cache
@@ -25,6 +26,7 @@
 SET_VARIABLE = "RUSHSADDLE_SET"  # lines of KEY=VALUE
 FILE_MOST = 4 * 1024 * 1024  # bytes
 FAULTS_MOST = 1000
+LINE = re.compile(r"\(at line (\d+), column \d+\)")
 
 Flags = Mapping[tuple[str, str], str]
 
@@ -179,7 +181,9 @@
     except UnicodeDecodeError as error:
         raise bad(f"not UTF-8 at byte {error.start}") from None
     except (tomllib.TOMLDecodeError, RecursionError) as error:
-        raise bad(f"not TOML: {error}") from None
+        at = LINE.search(str(error))  # else it is the end of the document
+        line = int(at[1]) if at else len(text.rstrip().splitlines())
+        raise OperatorError([f"{path}:{line}: file: not TOML: {error}"]) from None
 
 
 def _set(source: Source, section: str, key: str, text: str, where: str) -> None:
--- a/rushsaddle/parts.py
+++ b/rushsaddle/parts.py
@@ -136,6 +136,8 @@
     """Limits by class and route, joined to a node."""
     limiter = Limiter(node.loop.now_us, node.log, node.told.settings, shape)
     node.callers.limiter = limiter
+    if node.waiting is not None:
+        node.waiting.limiter = limiter
     before = node.decider.on_over
 
     def over(transaction: Transaction) -> None:
--- a/rushsaddle/waiting/plan.py
+++ b/rushsaddle/waiting/plan.py
@@ -96,9 +96,10 @@
 
 
 class Job:
-    """One waiting job.  ``left`` counts what it waits for: jobs, its record in the store, its due time."""
+    """One waiting job; ``left`` counts what it waits for: jobs, its record in the store, its due time."""
 
-    __slots__ = ("after", "cls", "due", "give_up", "left", "name", "number", "slots", "state", "what")
+    __slots__ = ("after", "cls", "due", "give_up", "left", "name", "number", "slots", "state", "timer",
+                 "what")
 
     def __init__(self, given: Submission) -> None:
         self.name = given.name
@@ -111,6 +112,7 @@
         self.left = 0
         self.number = -1  # how many became ready before it
         self.state = State.WAITING
+        self.timer = 0  # the one entry among the timers that is its own
 
 
 class Outcomes:
@@ -212,6 +214,12 @@
         job.state = State.RELEASED
         return job
 
+    def put_back(self, job: Job, at: int) -> None:
+        """A limit does not let a released job in before ``at``: until then it waits, and is not ready."""
+        job.state = State.WAITING
+        job.left = 1
+        self._at(min(at, job.give_up), job)
+
     def kept(self, name: str) -> None:
         """The store has it: it may be offered from now on."""
         job = self.jobs.get(name)
@@ -260,7 +268,8 @@
         if self._news or self._ends:
             return now
         timers = self._timers
-        while timers and timers[0][2].state not in LIVE:  # nobody is to be woken for a job that is over
+        # Nobody is to be woken for a job that is over, or by a timer that another has replaced.
+        while timers and (timers[0][2].state not in LIVE or timers[0][2].timer != timers[0][1]):
             heapq.heappop(timers)
             self._dead -= 1
         due = timers[0][0] if timers else None
@@ -293,20 +302,21 @@
         return actions
 
     def _at(self, when: int, job: Job) -> None:
-        self._count += 1
+        self._count = job.timer = self._count + 1
         heapq.heappush(self._timers, (when, self._count, job))
 
     def _fire(self, now: int, budget: int) -> int:
         while budget and (timers := self._timers) and timers[0][0] <= now:
             _, count, job = timers[0]
             budget -= 1
-            if job.state in LIVE and now < job.give_up:
+            live = job.timer == count and job.state in LIVE
+            if live and now < job.give_up:
                 heapq.heapreplace(timers, (job.give_up, count, job))  # due: next it can only be given up
                 self._one_less(job)
                 continue
             heapq.heappop(timers)
             self._dead -= 1
-            if job.state in LIVE:
+            if live:
                 self._end(now, job, Why.LATE)
         return budget
 
@@ -363,7 +373,7 @@
                 self._clear_needed()
         self._dead += 1
         if self._dead > DEAD_LEAST and self._dead > len(self._timers) // 2:
-            self._timers = [entry for entry in self._timers if entry[2].state in LIVE]
+            self._timers = [t for t in self._timers if t[2].timer == t[1] and t[2].state in LIVE]
             heapq.heapify(self._timers)
             self._dead = 0
 
--- a/rushsaddle/waiting/room.py
+++ b/rushsaddle/waiting/room.py
@@ -144,6 +144,10 @@
         self.out += slots
         self._fill -= slots
 
+    def give_back(self, now: int, slots: float) -> None:
+        """A job that was to go did not: nothing is learnt of the pace."""
+        self._back(now, slots)
+
     def best(self, now: int) -> float:
         """The most slots that released jobs could have had at once in the last seconds; 0: not known."""
         while self._best_at + BEST_US < now and self._best > 0.0:
--- a/rushsaddle/waiting/service.py
+++ b/rushsaddle/waiting/service.py
@@ -12,6 +12,7 @@
 from typing import Protocol
 
 from tansygw.interface import (
+    ANY_TERMS,
     AttemptEnded,
     CheckResult,
     Earlier,
@@ -25,6 +26,7 @@
     WorkerState,
 )
 
+from ..core.admission import Admitted, Limiter
 from ..core.decider import Decider
 from ..core.log import Log
 from ..core.loop import Coroutine, Loop, Task, Wait
@@ -36,6 +38,7 @@
 from .room import Room
 from .store import Failed, Store
 
+LIMIT_LEAST_US = 20_000  # a job that a limit holds back is not offered again sooner
 GATE_MOST_US = 100_000  # a record of an attempt that takes longer to write comes too late: it is not sent
 FORGET_US = 30_000_000  # between looks for answers that were kept long enough
 LIST_MOST = 1000
@@ -49,6 +52,9 @@
     def payload(self, packed: bytes) -> object:
         """The payload of a job whose content was kept."""
 
+    def path(self, payload: object) -> bytes:
+        """What routes are told apart by."""
+
     def status(self, answer: Answer) -> int:
         """The status that an answer has in this front's words, which are HTTP's."""
 
@@ -99,6 +105,7 @@
         self.rules = rules
         self.front = front
         self.store = store
+        self.limiter: Limiter | None = None
         self.draining = False
         self.legs = 0  # caller legs that wait here, counted by the front
         self.classes = {c.name: n for n, c in enumerate(settings.classes)}
@@ -320,9 +327,32 @@
             self._fetch(job, ticket, deadline, ())
             return
         assert ticket.job is not None
-        ticket.transaction = self.decider.submit(
-            job.name, ticket.job, ticket.payload, now, deadline, ticket.on_change
-        )
+        let_in = self._let_in(job, ticket.job, ticket.payload, deadline)
+        if isinstance(let_in, Final):
+            ticket.final = let_in
+            self.plan.outcome(now, job.name, False)
+            ticket.on_change()
+        elif let_in is not None:
+            ticket.transaction = self.decider.submit(
+                job.name, ticket.job, ticket.payload, now, min(deadline, now + let_in.timeout_us),
+                ticket.on_change, terms=let_in.terms, permit=let_in.permit,
+            )
+
+    def _let_in(self, job: Planned, info: Job, payload: object, deadline_us: int) -> Admitted | Final | None:
+        """The limits hold for a job that has waited as for a fresh one.  None: it waits until they let it in;
+        Final: they never will."""
+        now = self.loop.now_us()
+        if self.limiter is None:
+            return Admitted(deadline_us - now, ANY_TERMS, None)
+        found = self.limiter.admit(info.cls, self.front.path(payload), deadline_us - now, info.repeat)
+        if isinstance(found, Admitted):
+            return found
+        self.room.give_back(now, job.slots)
+        if not found.again:
+            return Final("refused", found.status, now, why=found.why)
+        self.plan.put_back(job, now + max(found.back_us, LIMIT_LEAST_US))
+        self._wake()
+        return None
 
     def _fetch(
         self, job: Planned, ticket: Ticket, deadline_us: int, earlier: tuple[Earlier, ...]
@@ -345,9 +375,18 @@
             self._finish(job.name, Final("failed", status, now, why=why), ticket)
             return
         kept, packed = found
-        payload = self.front.payload(packed)
+        payload, info = self.front.payload(packed), kept.job(job.cls)
+        let_in: Admitted | Final | None = Admitted(deadline_us - now, ANY_TERMS, None)
+        if not earlier:  # what has run once already is not held back: its window goes by
+            let_in = self._let_in(job, info, payload, deadline_us)
+        if isinstance(let_in, Final):
+            self._finish(job.name, let_in, ticket)
+            return
+        if let_in is None:
+            return
+        until = min(deadline_us, now + let_in.timeout_us)
         ticket.transaction = self.decider.submit(
-            job.name, kept.job(job.cls), payload, now, deadline_us, _nobody, self._gate, earlier
+            job.name, info, payload, now, until, _nobody, self._gate, earlier, let_in.terms, let_in.permit
         )
         self._changed(job.name)
 
--- a/tests/waiting/test_plan.py
+++ b/tests/waiting/test_plan.py
@@ -202,6 +202,26 @@
     assert [(e.job.name, e.why) for e in p.ended()] == [("a", Why.ENDING)] and list(p.jobs) == ["b"]
 
 
+def test_a_job_that_a_limit_holds_back_waits_on_and_leaves_nothing_behind() -> None:
+    p, room = plan(back_us=2 * S)
+    submit(p, 0, "held", give_up=50 * S)
+    submit(p, 0, "other", due=60 * S)
+    for n in range(2_000):
+        room.tokens = 1
+        now = n * 20_000
+        (release,) = p.step(now)
+        assert isinstance(release, Release) and release.job.name == "held"
+        p.put_back(release.job, now + 20_000)
+        assert p.step(now + 10_000) == [] and p.next_us(now) == now + 20_000
+    assert len(p._timers) < 600
+    assert p.cancel(40 * S, "held") and [e.why for e in p.ended()] == [Why.CANCELLED]
+    submit(p, 41 * S, "late", give_up=42 * S)
+    room.tokens = 1
+    (release,) = p.step(41 * S)
+    p.put_back(release.job, 99 * S)
+    assert ends(p.step(42 * S)) == {"late": Why.LATE}
+
+
 def test_timers_of_ended_jobs_are_cleared_away() -> None:
     p, _ = plan(most=100_000)
     for n in range(20_000):
