--- a/measure/limits_cost.py
+++ b/measure/limits_cost.py
@@ -10,9 +10,7 @@
 
 import argparse
 import gc
-import json
 import random
-import statistics
 import sys
 import tempfile
 import time
@@ -32,6 +30,7 @@
 from tansygw.settings import settings_from
 
 from .rig import SETTINGS
+from .table import show
 
 LOOKUPS = 50_000
 SIZES = (10, 10_000)
@@ -152,12 +151,7 @@
                 row[f"admit_us_{count}"] = admit_us(shapes[count], count)
             row["lookup_ratio"] = row[f"lookup_us_{SIZES[-1]}"] / row[f"lookup_us_{SIZES[0]}"]
             rows.append(row | Site(path).run())
-    print("| figure | median | least | most |\n| --- | --- | --- | --- |")
-    for key in rows[0]:
-        values = sorted(row[key] for row in rows)
-        print(f"| {key} | {statistics.median(values):.2f} | {values[0]:.2f} | {values[-1]:.2f} |")
-    if told.json:
-        Path(told.json).write_text(json.dumps(rows) + "\n")
+    show(rows, told.json)
     return 0
 
 
--- a/measure/waiting_store.py
+++ b/measure/waiting_store.py
@@ -9,9 +9,7 @@
 
 import argparse
 import asyncio
-import json
 import os
-import statistics
 import sys
 import tempfile
 import time
@@ -22,6 +20,7 @@
 from rushsaddle.waiting.store import Store
 
 from .rig import Caller, Node, Senders, room_for_descriptors
+from .table import show
 
 CALLERS = (1, 16, 128)
 RECORD = 600  # bytes that one job takes in the bare loop
@@ -122,11 +121,7 @@
     room_for_descriptors()
     with tempfile.TemporaryDirectory(dir=told.folder) as folder:
         rows = measure(Path(folder), told)
-    for key in rows[0]:
-        values = sorted(row[key] for row in rows)
-        print(f"| {key} | {statistics.median(values):.2f} | {values[0]:.2f} | {values[-1]:.2f} |")
-    if told.json:
-        Path(told.json).write_text(json.dumps(rows) + "\n")
+    show(rows, told.json)
     return 0
 
 
