--- a/measure/waiting_plan.py
+++ b/measure/waiting_plan.py
@@ -23,7 +23,7 @@
 from rushsaddle.node import GC
 from rushsaddle.waiting.plan import Plan, Release, Submission
 from rushsaddle.waiting.room import Room
-from rushsaddle.waiting.service import Ticket
+from rushsaddle.waiting.ticket import Ticket
 
 SIZES = (1_000, 10_000, 100_000)
 HOUR_US = 3_600_000_000
--- a/rushsaddle/net/desk.py
+++ b/rushsaddle/net/desk.py
@@ -15,8 +15,9 @@
 from ..core.transaction import Job
 from ..waiting.plan import Why
 from ..waiting.records import Final
-from ..waiting.service import STATUS, Ticket, Waiting
+from ..waiting.service import Waiting
 from ..waiting.store import Failed
+from ..waiting.ticket import STATUS, Ticket
 from .caller import HANGUP, Callers, Leg
 from .http import BadRequest, Header, Request
 from .jobs import Wish, job_name, location, packed, prefer, read_wish, retry_after, shown
--- a/rushsaddle/parts.py
+++ b/rushsaddle/parts.py
@@ -23,8 +23,9 @@
 from .operator.load import OperatorError, Source
 from .operator.records import Limits, Operator, duration_us
 from .operator.records import Waiting as Section
-from .waiting.service import Rules, Waiting
+from .waiting.service import Waiting
 from .waiting.store import Store, StoreError
+from .waiting.ticket import Rules
 
 if TYPE_CHECKING:
     from .node import Node
--- a/rushsaddle/waiting/service.py
+++ b/rushsaddle/waiting/service.py
@@ -7,9 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
 from itertools import islice
-from typing import Protocol
 
 from tansygw.interface import (
     ANY_TERMS,
@@ -37,60 +35,12 @@
 from .recover import GiveUp, GoOn, fate
 from .room import Room
 from .store import Failed, Store
+from .ticket import Front, Rules, Ticket, final_of, nobody, shown, ticket_of
 
 LIMIT_LEAST_US = 20_000  # a job that a limit holds back is not offered again sooner
 GATE_MOST_US = 100_000  # a record of an attempt that takes longer to write comes too late: it is not sent
 FORGET_US = 30_000_000  # between looks for answers that were kept long enough
 LIST_MOST = 1000
-STATUS = {Why.UNMET: 424, Why.NEVER: 422, Why.FULL: 429, Why.HOPELESS: 503, Why.LATE: 504, Why.CANCELLED: 410,
-          Why.ENDING: 503}
-
-
-class Front(Protocol):
-    """What only the protocol of a front knows."""
-
-    def payload(self, packed: bytes) -> object:
-        """The payload of a job whose content was kept."""
-
-    def path(self, payload: object) -> bytes:
-        """What routes are told apart by."""
-
-    def status(self, answer: Answer) -> int:
-        """The status that an answer has in this front's words, which are HTTP's."""
-
-
-@dataclass(slots=True, frozen=True)
-class Rules:
-    """What the operator sets.  Times are microseconds."""
-
-    most: int
-    pace: bool
-    reserve: float
-    longest_us: int
-    remember_us: int
-    remember_most: int
-    keep_us: int
-    keep_most: int
-
-
-class Ticket:
-    """One waiting job of a front.  ``final`` is its answer; one that was released has ``transaction``."""
-
-    __slots__ = ("final", "job", "kept", "lasts", "on_change", "payload", "retry_after_us", "transaction")
-
-    def __init__(self, on_change: Callable[[], None], lasts: bool) -> None:
-        self.on_change = on_change
-        self.lasts = lasts  # it is for the store, which alone holds its body: that is read when it goes
-        self.kept = False  # the store has it
-        self.job: Job | None = None
-        self.payload: object = None
-        self.transaction: Transaction | None = None
-        self.final: Final | None = None
-        self.retry_after_us = 0
-
-
-def _nobody() -> None:
-    """Nobody waits for this ticket."""
 
 
 class Waiting:
@@ -205,12 +155,12 @@
     def show(self, name: str) -> dict[str, object] | None:
         """A job that has no answer yet, as JSON tells it."""
         job = self.plan.jobs.get(name)
-        return _shown(job) if job is not None else None
+        return shown(job) if job is not None else None
 
     def listed(self, start: int, most: int) -> Iterator[dict[str, object]]:
         """Jobs without an answer, in the order in which they came."""
         for job in islice(self.plan.jobs.values(), start, start + min(most, LIST_MOST)):
-            yield _shown(job)
+            yield shown(job)
 
     def counts(self) -> dict[str, object]:
         store = self.store
@@ -247,7 +197,7 @@
         for name, kept in found.jobs.items():
             sent = found.sends.get(name, [])
             what = fate(now, kept, sent, by_name, self.settings.limits.max_attempts)
-            ticket = Ticket(_nobody, lasts=True)
+            ticket = Ticket(nobody, lasts=True)
             ticket.kept = True
             if isinstance(what, GiveUp):
                 self._finish(name, Final("failed", what.status, now, why=what.why))
@@ -264,7 +214,7 @@
                 self._fetch(job, ticket, min(what.until_us, kept.give_up_us), earlier)
                 counts["again"] += 1
             elif (unfit := self.plan.submit(now, given, stored=True)) is not None:
-                self._finish(name, _final(unfit, now))
+                self._finish(name, final_of(unfit, now))
                 counts["given_up"] += 1
             else:
                 counts["waiting"] += 1
@@ -274,7 +224,7 @@
         """The node ends: held jobs get their answer at once, kept ones wait on for the next start."""
         self.draining = True
         now = self.loop.now_us()
-        held = [job for job in self.plan.jobs.values() if not _ticket(job).lasts]
+        held = [job for job in self.plan.jobs.values() if not ticket_of(job).lasts]
         self.plan.end_all(now, held)
         self._end_now()
         for name in list(self._watchers):
@@ -311,7 +261,7 @@
                     self._release(action.job)
                 elif isinstance(action, End):
                     self._end(action, now)
-                elif _ticket(action.job).lasts and self.store is not None:
+                elif ticket_of(action.job).lasts and self.store is not None:
                     self.store.met(action.job.name, action.name)  # else a restart would wait for it again
             if self.store is not None and now >= self._forget_at:
                 self._forget_at = now + FORGET_US
@@ -322,7 +272,7 @@
         deadline = min(job.give_up, now + info.deadline_us)
         waited_ms = (now - job.due) // 1000 if job.due else None
         self.log.event("job released", id=job.name, cls=job.cls, number=job.number, since_due_ms=waited_ms)
-        ticket = _ticket(job)
+        ticket = ticket_of(job)
         if ticket.lasts:
             self._fetch(job, ticket, deadline, ())
             return
@@ -386,7 +336,7 @@
             return
         until = min(deadline_us, now + let_in.timeout_us)
         ticket.transaction = self.decider.submit(
-            job.name, info, payload, now, until, _nobody, self._gate, earlier, let_in.terms, let_in.permit
+            job.name, info, payload, now, until, nobody, self._gate, earlier, let_in.terms, let_in.permit
         )
         self._changed(job.name)
 
@@ -399,8 +349,8 @@
 
     def _end(self, action: End, now: int) -> None:
         """A final answer that the plan gives."""
-        job, ticket = action.job, _ticket(action.job)
-        final = _final(action.why, now)
+        job, ticket = action.job, ticket_of(action.job)
+        final = final_of(action.why, now)
         ticket.retry_after_us = action.retry_after_us
         self.log.event("waiting job ended", id=job.name, cls=job.cls, why=action.why.value)
         if ticket.lasts:
@@ -424,7 +374,7 @@
             self.plan.kept(name)
             self._wake()
         ticket.on_change()
-        ticket.on_change = _nobody
+        ticket.on_change = nobody
 
     def _gate(self, branch: Branch) -> None:
         """Before the first byte of an attempt: write that it may run."""
@@ -495,7 +445,7 @@
             self.plan.outcome(now, transaction.name, good)
         else:
             self._back(now, transaction, answer)
-            ticket = _ticket(job)
+            ticket = ticket_of(job)
             if not ticket.lasts:
                 self.plan.outcome(now, transaction.name, good)
             else:
@@ -548,23 +498,3 @@
             if event.kind is not ListKind.CHANGES:
                 named = {entry.worker for entry in event.entries}
                 self._places = {w: place for w, place in self._places.items() if w in named}
-
-
-def _ticket(job: Planned) -> Ticket:
-    assert isinstance(job.what, Ticket)
-    return job.what
-
-
-def _final(why: Why, now: int) -> Final:
-    state = "cancelled" if why is Why.CANCELLED else "failed" if why is Why.LATE else "refused"
-    return Final(state, STATUS[why], now, why=why.value)
-
-
-def _shown(job: Planned) -> dict[str, object]:
-    ticket = _ticket(job)
-    released = job.state is State.RELEASED or ticket.final is not None
-    return {
-        "id": job.name, "state": "released" if released else "waiting",
-        "due": job.due / 1e6 if job.due else None, "after": list(job.after), "give_up": job.give_up / 1e6,
-        "status": None, "result": None,
-    }
