One place for Retry-After and for the check of limits against the platform

Cause: reading the change once more found the header written three times, the check of limits against the platform twice, the file read twice by explain, and a counter of commits that nobody read. Change: retry_after in net/http.py, fit in operator/explain.py; behaviour as before.

--- a/rushsaddle/net/caller.py
+++ b/rushsaddle/net/caller.py
@@ -33,6 +33,7 @@
     end_to_end,
     number,
     odd_framing,
+    retry_after,
     status_of,
 )
 from .nexthop import NextHops
@@ -287,7 +288,7 @@
         if self.limiter is not None:
             let_in = self.limiter.admit(cls.number, path, min(wait_us, cls.deadline_us), job.repeat)
             if isinstance(let_in, Turned):
-                more = [(b"Retry-After", b"%.3f" % (let_in.back_us / 1e6))] if let_in.back_us else []
+                more = retry_after(let_in.back_us)
                 return (yield from self.reply(leg, let_in.status, f"{let_in.why}\n".encode(), more))
             wait_us = min(wait_us, let_in.timeout_us)
             terms, permit = let_in.terms, let_in.permit
@@ -401,7 +402,5 @@
     if answer.verdict is Verdict.SERVED:
         return 200, [(b"Content-Type", b"application/octet-stream")]
     if answer.verdict is Verdict.BUSY:
-        if answer.retry_after_us:
-            return 503, [(b"Retry-After", b"%.3f" % (answer.retry_after_us / 1e6))]
-        return 503, []
+        return 503, retry_after(answer.retry_after_us)
     return status_of(answer), []
--- a/rushsaddle/net/desk.py
+++ b/rushsaddle/net/desk.py
@@ -19,8 +19,8 @@
 from ..waiting.store import Failed
 from ..waiting.ticket import STATUS, Ticket
 from .caller import HANGUP, Callers, Leg
-from .http import BadRequest, Header, Request
-from .jobs import Wish, job_name, location, packed, prefer, read_wish, retry_after, shown
+from .http import BadRequest, Header, Request, retry_after
+from .jobs import Wish, job_name, location, packed, prefer, read_wish, shown
 
 OURS = frozenset((b"x-not-before", b"x-after", b"prefer"))  # no next hop is to wait once more
 JSON = (b"Content-Type", b"application/json")
--- a/rushsaddle/net/http.py
+++ b/rushsaddle/net/http.py
@@ -68,6 +68,11 @@
     return 400 if answer.unfit else 504 if answer.late else 502
 
 
+def retry_after(us: int) -> list[Header]:
+    """The header that tells a refused caller when to come back; none for 0."""
+    return [(b"Retry-After", b"%.3f" % (us / 1e6))] if us else []
+
+
 class Stream:
     """One connection.  Whoever made it owns it and closes it, in one place.
 
--- a/rushsaddle/net/jobs.py
+++ b/rushsaddle/net/jobs.py
@@ -13,7 +13,7 @@
 
 from ..core.transaction import Answer
 from ..waiting.records import Final
-from .http import ID, BadRequest, Header, Request, number, status_of
+from .http import ID, BadRequest, Request, number, status_of
 
 AFTER_MOST = 64  # jobs that one may wait for
 WAIT_MOST = 60.0  # seconds that a GET may wait for a change
@@ -97,10 +97,6 @@
     }
 
 
-def retry_after(us: int) -> list[Header]:
-    return [(b"Retry-After", b"%.3f" % (us / 1e6))] if us else []
-
-
 class HttpFront:
     """What the waiting part must know of HTTP: how a kept request is read again."""
 
--- a/rushsaddle/operator/explain.py
+++ b/rushsaddle/operator/explain.py
@@ -6,7 +6,7 @@
 
 from ..limits.build import problems, settings_of, values_of
 from ..limits.routes import OddPath, Routes
-from .load import OperatorError, read_with_source
+from .load import OperatorError, Source, read_with_source
 from .records import Limits, Operator
 
 
@@ -17,18 +17,24 @@
 def checked(file: str, platform: Settings | None) -> Operator:
     """A good file; raises OperatorError with every fault, those against a given platform too."""
     operator, source = read_with_source(file, {}, {})
-    if platform is not None and operator.limits is not None:
+    if platform is not None:
+        fit(operator, source, platform)
+    return operator
+
+
+def fit(operator: Operator, source: Source, platform: Settings) -> None:
+    """Raise OperatorError with every fault of the limits against the platform."""
+    if operator.limits is not None:
         for at, reason in problems(operator.limits, platform):
             source.fault(at, reason)
         if source.faults:
             raise OperatorError(source.faults)
-    return operator
 
 
 def explained(file: str, platform: Settings, cls: str, path: str | None) -> list[dict[str, object]]:
     """Rows of key, value and where it came from; raises OperatorError or ExplainError."""
-    checked(file, platform)
     operator, source = read_with_source(file, {}, {})
+    fit(operator, source, platform)
     limits = operator.limits if operator.limits is not None else Limits()
     info = next((c for c in platform.classes if c.name == cls), None)
     if info is None:
--- a/rushsaddle/parts.py
+++ b/rushsaddle/parts.py
@@ -16,10 +16,11 @@
 
 from .core.loop import Coroutine, Loop, Wait
 from .core.transaction import Transaction
-from .limits.build import Shape, problems, shape_of
+from .limits.build import Shape, shape_of
 from .limits.service import Limiter
 from .net.desk import WaitDesk
 from .net.jobs import HttpFront
+from .operator.explain import fit
 from .operator.load import OperatorError, Source
 from .operator.records import Limits, Operator, duration_us
 from .operator.records import Waiting as Section
@@ -68,11 +69,8 @@
     def __init__(self, operator: Operator, source: Source, platform: Settings) -> None:
         self.operator = operator
         self.shape: Shape | None = None
+        fit(operator, source, platform)
         if operator.limits is not None:
-            for at, reason in problems(operator.limits, platform):
-                source.fault(at, reason)
-            if source.faults:
-                raise OperatorError(source.faults)
             self.shape = shape_of(operator.limits, platform)
 
 
--- a/rushsaddle/waiting/store.py
+++ b/rushsaddle/waiting/store.py
@@ -77,7 +77,6 @@
 class Store:
     def __init__(self, folder: Path, wake: Callable[[], None]) -> None:
         self.folder = folder
-        self.commits = 0
         self.trouble = ""  # why the last commit failed; empty where it did not
         self._wake = wake
         self._queue: deque[Call] = deque()
@@ -336,7 +335,6 @@
         for call in batch:
             call.result = call.work(db)
         db.execute("commit")
-        self.commits += 1
 
     def _roll_back(self) -> None:
         with suppress(sqlite3.Error):
