Checks are spread by the group's size and paid for by requests, not by a guessed crowd

Cause: gap_us began at one tick and was corrected by the second request only, so a node whose requests come seconds apart checked 60 senders up to 26 times a second each (_check_rate); _on_entry began all first checks within four ticks. Checked and ruled out: refused connections (none among the probes), slow probes (median 3.3 ms, p99 10 ms). Change: the guess begins at a usual running time and a silence counts against it; first checks are spread over 10 ms for each dispatcher of the group, which also bounds the rate; what is saved is spent while requests come, twice as much where workers are many.

--- a/tansygw/decide.py
+++ b/tansygw/decide.py
@@ -61,8 +61,11 @@
 COPY_WAIT = 0.35  # a copy goes out once this share of the slack is gone: most waits end by themselves
 COPY_SHARE = 0.15  # second copies and retries by this share of first tries: overload must not feed itself
 COPY_BURST = 5.0  # ... with so many saved up
-CHECK_COST = 0.004  # points of the result that checks may cost
+CHECK_COST = 0.006  # points of the result that checks may cost
+CHECK_MANY = 30.0  # of more workers than this a dispatcher sees too little of each: its checks may cost more
+CHECK_MORE = 2.0  # ... in proportion, up to so many times as much
 CHECK_RATE = 2.0  # top rate of checks by the spacing of new figures: a figure is seen soon after it is made
+CHECK_APART = 10_000  # microseconds between the checks that a worker may get from the whole group
 CHECK_FLOOR = 0.3  # an empty worker is still checked at this share of the top rate
 PART_LEAST = 0.25  # our part is taken to be at least this share of an equal one: few own jobs tell little
 PASS_SIZE = 16  # held requests looked through for each tick of waiting
@@ -339,7 +342,7 @@
         self.next_pass = 0  # when the held requests are looked through next, at the soonest
         self.changed = False  # something happened that may let a held request go
         self.start_us = float(settings.tick_us)  # delay of a start note where nothing waits
-        self.gap_us = float(settings.tick_us)  # between arrivals
+        self.gap_us = self.busy_us  # between arrivals; a low guess would check as if a crowd of them came
         self.arrivals = self.last_arrival = 0
         self.copies = COPY_BURST  # second tries in hand
         self.handlers: dict[type, Callable[[Any], None]] = {
@@ -416,6 +419,8 @@
                 if worker.name not in named:
                     worker.ready = False
         self.ready = [w for w in self.workers.values() if w.ready]
+        if not self.arrivals:
+            self.last_arrival = self.now  # the silence before the first request counts from the start
         if event.kind is ListKind.SAVED and self.settings.list_on_request and not self.subscribed:
             self._subscribe(self)
 
@@ -433,7 +438,9 @@
         if worker is None:
             worker = self.workers[entry.worker] = Worker(entry.worker)
             if self.settings.limits.checks and self.settings.report_source is not ReportSource.NOWHERE:
-                self._at(self.now + self.random.random() * self.settings.tick_us * 4, self._check, worker)
+                # Dispatchers hear of a worker together, after a release they start together: not all at once.
+                spread = max(self.settings.tick_us * 4, self.settings.group_size * CHECK_APART)
+                self._at(self.now + self.random.random() * spread, self._check, worker)
         worker.zone, worker.kind, worker.cell = entry.zone, entry.kind, entry.cell
         worker.ready = entry.state is WorkerState.READY
         if entry.started_us > worker.started_us:
@@ -460,10 +467,13 @@
 
     def _check_rate(self) -> float:
         """alpha: the top rate of checks of one worker, in checks a microsecond."""
-        alpha = CHECK_RATE / self.spacing
+        alpha = min(CHECK_RATE / self.spacing, 1.0 / (self.settings.group_size * CHECK_APART))
         price = self.settings.prices.check
         if price > 0 and self.ready:
-            alpha = min(alpha, CHECK_COST / price / self.gap_us / len(self.ready))
+            gap = max(self.gap_us, self.now - self.last_arrival)  # a long silence tells of a longer gap
+            workers = len(self.ready)
+            cost = CHECK_COST * min(CHECK_MORE, max(1.0, workers / CHECK_MANY))
+            alpha = min(alpha, cost / price / gap / workers)
         return alpha
 
     def _check(self, worker: Worker) -> None:
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,89 @@
+"""Bounds that many dispatchers side by side must keep together: each alone would pass with far worse."""
+
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+from typing import Any
+
+import pytest
+
+from tansygw.interface import (
+    Check,
+    CheckResult,
+    Event,
+    Limits,
+    Outcome,
+    Prices,
+    ReportSource,
+    RequestArrived,
+    Settings,
+    TimerFired,
+)
+from tests.world import MS, SECOND, Drive, settings
+
+GROUP = 40
+WORKERS = 60
+
+
+def fleet_settings(**more: Any) -> Settings:
+    fields: dict[str, Any] = {
+        "group_size": GROUP, "report_source": ReportSource.CHECKS, "prices": Prices(check=0.0013),
+        "limits": Limits(cancel=True, checks=True, max_attempts=4), "tells_start": False, "tick_us": 2 * MS,
+    }
+    fields.update(more)
+    return settings(**fields)
+
+
+class Lone:
+    """One dispatcher of a fleet, run in its own virtual time; its checks are answered after 3 ms."""
+
+    def __init__(self, given: Settings, seed: int, gap_us: float) -> None:
+        self.drive = Drive(given, workers=WORKERS, seed=seed)
+        self.random = Random(seed)
+        self.gap_us = gap_us
+        self.checks: list[tuple[int, str]] = []
+
+    def run(self, until: int) -> None:
+        drive, random = self.drive, self.random
+        tick = drive.settings.tick_us
+        back: list[tuple[int, str]] = []
+        next_request = random.expovariate(1.0 / self.gap_us) if self.gap_us else float("inf")
+        number = 0
+        while drive.now < until:
+            drive.now += tick
+            events: list[Event] = [TimerFired()]
+            while back and back[0][0] <= drive.now:
+                report = {"free_slots": 2.0 + random.random(), "util": 0.5}
+                events.append(CheckResult(back.pop(0)[1], Outcome.SUCCESS, 3 * MS, report))
+            while next_request <= drive.now:
+                number += 1
+                events.append(RequestArrived(number, 0, 5 * SECOND))
+                next_request += random.expovariate(1.0 / self.gap_us)
+            for action in drive.step(*events):
+                if isinstance(action, Check):
+                    self.checks.append((drive.now, action.worker))
+                    back.append((drive.now + 3 * MS, action.worker))
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_after_a_release_the_group_checks_no_worker_in_one_burst(seed: int) -> None:
+    """40 dispatchers that hear of 60 workers in one instant, before the first request comes."""
+    dispatchers = [Lone(fleet_settings(), seed * 1000 + n, 0) for n in range(GROUP)]
+    for d in dispatchers:
+        d.run(SECOND)
+    each = [len(d.checks) for d in dispatchers]
+    assert min(each) >= WORKERS  # every worker is checked ...
+    assert sum(each) <= 3 * GROUP * WORKERS  # ... but not over and over while there is nothing to send
+    burst = Counter((worker, at // (50 * MS)) for d in dispatchers for at, worker in d.checks)
+    assert max(burst.values()) <= 25  # of the 40 that would come within 8 ms
+
+
+def test_few_requests_pay_for_few_checks() -> None:
+    """A thin dispatcher's checks follow its own requests, from the first on."""
+    thin = Lone(fleet_settings(), 7, 500 * MS)
+    thin.run(10 * SECOND)
+    assert len(thin.checks) <= 4 * WORKERS
+    busy = Lone(fleet_settings(), 7, 10 * MS)
+    busy.run(2 * SECOND)
+    assert len([at for at, _ in busy.checks if at > SECOND]) >= WORKERS / 2
