A cold sender's budget is split by each node's part of the work, not evenly

Cause: _cold_room gave each node a 40th of what a cold sender stands, so the thin nodes left theirs unused and the two busy ones were held back; COLD_POWER 2 kept cold senders out of the draw beyond what the budget asks. Ruled out: that cold senders serve slowly, or fell over (none did). A test adds up 40 nodes in every window against the fall multiple.

--- a/tansygw/decide.py
+++ b/tansygw/decide.py
@@ -77,7 +77,7 @@
 PROOFS = 3  # after an error so many jobs must succeed in a row, one at a time: most errors are only frequent
 ERRORS_SICK = 0.3  # errors a second that a worker reports; healthy ones have one in minutes
 COLD_BUDGET = 0.4  # of what a cold worker can stand in a window, this share is sent: jobs differ in size
-COLD_POWER = 2.0  # a cold worker's weight is its present capacity share to this power: chance needs slack
+COLD_POWER = 1.0  # a cold worker's weight is its present capacity share to this power: chance needs slack
 CROSS_WEIGHT = 32.0  # by so many times the price of crossing zones a worker elsewhere counts for less
 PACE_PRIOR = 5.0  # run times spread widely: so many of them weigh as much as what was believed before
 PACE_KEEP = 0.9  # a worker's pace is that of about its last ten jobs: slowness comes and goes
@@ -641,7 +641,7 @@
             worker.cold_credit = -self.random.random() * self.busy_us
         totals = [w.total for w in self.ready if w.total]
         slots = worker.total or (min(totals) if totals else 1.0)
-        rate = COLD_BUDGET * rules.fall_multiple * share * slots / self.settings.group_size
+        rate = COLD_BUDGET * rules.fall_multiple * share * slots * self.part
         credit = worker.cold_credit + rate * (self.now - worker.cold_paid)
         worker.cold_credit = min(credit, rate * rules.fall_us / 2)
         worker.cold_paid = self.now
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -9,6 +9,7 @@
 import pytest
 
 from tansygw.interface import (
+    Action,
     Check,
     CheckResult,
     Event,
@@ -17,6 +18,7 @@
     Prices,
     ReportSource,
     RequestArrived,
+    Send,
     Settings,
     TimerFired,
 )
@@ -87,3 +89,45 @@
     busy = Lone(fleet_settings(), 7, 10 * MS)
     busy.run(2 * SECOND)
     assert len([at for at, _ in busy.checks if at > SECOND]) >= WORKERS / 2
+
+
+def cold_work(parts: list[float], length: int) -> list[tuple[int, float]]:
+    """When dispatchers with these parts of the work sent how much slot time to the one worker, a cold one."""
+    given = fleet_settings()
+    work = float(given.classes[0].aim_us)  # what a job is taken to need before any has ended
+    sent: list[tuple[int, float]] = []
+    for n, part in enumerate(parts):
+        drive = Drive(given, workers=1, seed=n, started_us=1)
+        drive.dispatcher.part = part
+        drive.tell(w0={"free_slots": 4.0})
+        out: list[tuple[int, int]] = []
+        while drive.now < length:
+            actions: list[Action] = []
+            while out and out[0][0] <= drive.now:
+                actions += drive.ended(out.pop(0)[1], 0, "w0")
+            actions += drive.request(after=100 * MS, time_left_us=SECOND)[1]
+            drive.dispatcher.part = part  # what its own reports would tell it again
+            for action in actions + drive.step(TimerFired()):
+                if isinstance(action, Send):
+                    sent.append((drive.now, work))
+                    out.append((drive.now + round(work), action.request))
+    return sorted(sent)
+
+
+def test_a_cold_worker_gets_its_work_from_those_who_have_it() -> None:
+    """One dispatcher with two fifths of the work may use two fifths of the cold room, not a fortieth ..."""
+    much = sum(work for _, work in cold_work([0.4], 6 * SECOND))
+    little = sum(work for _, work in cold_work([1 / GROUP], 6 * SECOND))
+    assert much >= 4 * max(little, 1.0)
+
+
+def test_all_together_never_push_a_cold_worker_over() -> None:
+    """... and the parts of all add up to less than the fall multiple in every window."""
+    parts = [0.4, 0.2] + [max(0.25 / GROUP, 0.4 / (GROUP - 2))] * (GROUP - 2)
+    sent = cold_work(parts, 6 * SECOND)
+    rules = fleet_settings().rules
+    assert sent
+    for start, _ in sent:
+        share = rules.cold_share + (1 - rules.cold_share) * start / rules.cold_us
+        window = sum(work for at, work in sent if start <= at < start + rules.fall_us)
+        assert window <= rules.fall_multiple * share * 4.0 * rules.fall_us
