Calls for the list are spread by the group's size, at the start and after a failure

Cause: the service works its turns off whether or not the caller still waits; 16 calls of 0.16 s each 2.9 s, put off by 0.3 to 0.9 s (_on_list), kept its queue above the patience of 2.2 s for ever. Ruled out: that discovery was down (open watches were told of changes at 19.5, 24.2 and 27.5 s). Change: a first call is put off by up to 0.12 s for each dispatcher of the group, less one second; after a failure the wait begins at the same measure. Groups of up to 8 do as before, to the bit.

--- a/tansygw/decide.py
+++ b/tansygw/decide.py
@@ -66,6 +66,8 @@
 CHECK_MORE = 2.0  # ... in proportion, up to so many times as much
 CHECK_RATE = 2.0  # top rate of checks by the spacing of new figures: a figure is seen soon after it is made
 CHECK_APART = 10_000  # microseconds between the checks that a worker may get from the whole group
+LIST_APART = 120_000  # microseconds that one list may cost the service: the whole group asks it
+LIST_PATIENCE = 1_000_000  # microseconds that a call may wait its turn there, whatever the service's limit
 CHECK_FLOOR = 0.3  # an empty worker is still checked at this share of the top rate
 PART_LEAST = 0.25  # our part is taken to be at least this share of an equal one: few own jobs tell little
 PASS_SIZE = 16  # held requests looked through for each tick of waiting
@@ -403,10 +405,13 @@
             if not self.subscribed:
                 return
             self.subscribed = False
-            self.list_faults += 1
-            wait = self.settings.rules.must_ask_in_us / 16 * 2 ** min(self.list_faults, 4)
-            wait = max(self.settings.tick_us, wait * (0.5 + self.random.random()) / 2)
-            self._at(self.now + wait, self._subscribe, self)
+            # A call that waited too long has cost its turn all the same: where all who failed ask again at
+            # once, the service works for calls that are given up, for as long as they go on.
+            most = self.settings.rules.must_ask_in_us
+            wait = max(most / 8, self._list_turns()) * 2**self.list_faults
+            self.list_faults = min(self.list_faults + 1, 3)
+            wait = min(wait, most) * (0.5 + self.random.random()) / 2
+            self._at(self.now + max(self.settings.tick_us, wait), self._subscribe, self)
             return
         self.list_faults = 0
         self.changed = True
@@ -422,7 +427,16 @@
         if not self.arrivals:
             self.last_arrival = self.now  # the silence before the first request counts from the start
         if event.kind is ListKind.SAVED and self.settings.list_on_request and not self.subscribed:
-            self._subscribe(self)
+            # After a mass restart all ask: what does not fit into a call's patience is spread.
+            spread = self._list_turns() - LIST_PATIENCE
+            if spread > 0.0:
+                self._at(self.now + spread * self.random.random(), self._subscribe, self)
+            else:
+                self._subscribe(self)
+
+    def _list_turns(self) -> float:
+        """How long the service of lists may need for one call of every dispatcher."""
+        return float(self.settings.group_size * LIST_APART)
 
     @property
     def live(self) -> bool:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -14,13 +14,16 @@
     CheckResult,
     Event,
     Limits,
+    ListKind,
     Outcome,
     Prices,
     ReportSource,
     RequestArrived,
     Send,
     Settings,
+    Subscribe,
     TimerFired,
+    WorkerList,
 )
 from tests.world import MS, SECOND, Drive, settings
 
@@ -131,3 +134,34 @@
         share = rules.cold_share + (1 - rules.cold_share) * start / rules.cold_us
         window = sum(work for at, work in sent if start <= at < start + rules.fall_us)
         assert window <= rules.fall_multiple * share * 4.0 * rules.fall_us
+
+
+def service_of_lists(seed: int, turn_us: int, patience_us: int, until: int) -> list[int]:
+    """When each of 40 restarted dispatchers has its list; the service also works for calls given up."""
+    given = fleet_settings(list_on_request=True)
+    drives = [Drive(given, workers=0, seed=seed * 1000 + n) for n in range(GROUP)]
+    had = [until] * GROUP
+    free = 0  # when the service has worked off all that was asked of it
+    failed: list[tuple[int, int]] = []  # when a call is given up, and whose
+    for now in range(2 * MS, until, 10 * MS):
+        for n, drive in enumerate(drives):
+            events: list[Event] = [TimerFired()]
+            if (now // (10 * MS), n) in failed:
+                failed.remove((now // (10 * MS), n))
+                events.append(WorkerList(ListKind.FAILED))
+            for action in drive.dispatcher.step(now, events):
+                if isinstance(action, Subscribe):
+                    free = max(free, now) + turn_us
+                    if free - now <= patience_us:
+                        had[n] = free
+                    else:
+                        failed.append(((now + patience_us) // (10 * MS), n))
+    return had
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_mass_restart_does_not_keep_the_service_of_lists_busy_with_calls_given_up(seed: int) -> None:
+    """Forty calls of 165 ms and a patience of 2.2 s: asked again at once they would fail for ever."""
+    had = service_of_lists(seed, 165 * MS, 2_200 * MS, 20 * SECOND)
+    assert max(had) < 15 * SECOND
+    assert sorted(had)[GROUP // 2] < 5 * SECOND
