Where senders are many, second copies go out by the job's expected time, and more of them

Seen before any release, 40 nodes and 60 senders at 0.5 of their slots: 9 to 13% of jobs late, single-text at the 90th percentile 750 ms against a usual 60; a node sees a sender's figure every few seconds and draws full ones. A copy went out after four usual running times (1.5 s), when the wanted time was over. Cause: _send's wait took no heed of the expected time that each request names; COPY_SHARE 0.15 was used up as soon as it did. Change: with more than 30 senders the wait is the expected time and 0.35 of the aim, and copies may be 0.35 of first tries. Only classes that may be repeated, within their rack and window, as before.

--- a/tansygw/decide.py
+++ b/tansygw/decide.py
@@ -59,10 +59,12 @@
 START_MULTIPLE = 4.0  # ... and later than so many prompt start delays, so that slow networks are no illness
 START_QUANTILE = 0.25  # a delay that even in overload most starts exceed: the network's, not the queues'
 COPY_WAIT = 0.35  # a copy goes out once this share of the slack is gone: most waits end by themselves
+COPY_MANY = 0.35  # ... where workers are many: a draw by old figures goes wrong more often, a copy mends it
+HINT_MULTIPLE = 1.0  # a job that takes so many times its expected time, and part of its aim, waits in a queue
 COPY_SHARE = 0.15  # second copies and retries by this share of first tries: overload must not feed itself
 COPY_BURST = 5.0  # ... with so many saved up
 CHECK_COST = 0.006  # points of the result that checks may cost
-CHECK_MANY = 30.0  # of more workers than this a dispatcher sees too little of each: its checks may cost more
+MANY = 30.0  # of more workers than this a dispatcher sees too little of each: its checks may cost more
 CHECK_MORE = 2.0  # ... in proportion, up to so many times as much
 CHECK_RATE = 2.0  # top rate of checks by the spacing of new figures: a figure is seen soon after it is made
 CHECK_APART = 10_000  # microseconds between the checks that a worker may get from the whole group
@@ -129,13 +131,14 @@
 class Request:
     """One request, its attempts, and what may legally be sent or answered for it."""
 
-    __slots__ = ("arrived", "attempts", "cls", "deadline", "earlier", "id", "info", "live", "memory", "out",
-                 "slots", "streaming", "terms", "worth")
+    __slots__ = ("arrived", "attempts", "cls", "deadline", "earlier", "expected_us", "id", "info", "live",
+                 "memory", "out", "slots", "streaming", "terms", "worth")
 
     def __init__(self, event: RequestArrived, info: RequestClass, now: int) -> None:
         self.id = event.request
         self.cls = event.cls
         self.info = info
+        self.expected_us = event.expected_us
         self.arrived = now
         self.deadline = now + event.time_left_us
         self.slots = _number(event.slots) or 1.0
@@ -486,7 +489,7 @@
         if price > 0 and self.ready:
             gap = max(self.gap_us, self.now - self.last_arrival)  # a long silence tells of a longer gap
             workers = len(self.ready)
-            cost = CHECK_COST * min(CHECK_MORE, max(1.0, workers / CHECK_MANY))
+            cost = CHECK_COST * min(CHECK_MORE, max(1.0, workers / MANY))
             alpha = min(alpha, cost / price / gap / workers)
         return alpha
 
@@ -779,6 +782,8 @@
         if self.settings.tells_start:
             worker.waiting[attempt] = None
             wait = max(self._patience(request.info), COPY_WAIT * self._slack(request.cls))
+        elif request.expected_us and len(self.ready) > MANY:
+            wait = min(wait, HINT_MULTIPLE * request.expected_us + COPY_WAIT * request.info.aim_us)
         self._at(now + wait, self._follow_up, attempt)
         return True
 
@@ -871,7 +876,8 @@
             self.tokens[t] = min(quota, self.tokens[t] + quota * self.part * spent / SECOND)
         for c in range(len(self.shares)):
             self.shares[c] += SPACING_STEP / 4 * ((c == event.cls) - self.shares[c])
-        self.copies = min(COPY_BURST, self.copies + COPY_SHARE)
+        share = COPY_MANY if len(self.ready) > MANY else COPY_SHARE
+        self.copies = min(COPY_BURST, self.copies + share)
         request = Request(event, self.settings.classes[event.cls], now)
         if self._over_share(event.tenant):
             request.worth *= self.settings.over_share_worth
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from tansygw.decide import COPY_BURST, COPY_MANY
 from tansygw.interface import (
     Action,
     Check,
@@ -165,3 +166,35 @@
     had = service_of_lists(seed, 165 * MS, 2_200 * MS, 20 * SECOND)
     assert max(had) < 15 * SECOND
     assert sorted(had)[GROUP // 2] < 5 * SECOND
+
+
+@pytest.mark.parametrize("workers", [12, WORKERS])
+def test_where_workers_are_many_a_late_job_gets_a_copy_by_its_expected_time(workers: int) -> None:
+    """A job of 60 ms that is not back after 100 ms waits in a queue that the old figures did not show."""
+    limits = Limits(cancel=True, second_copies=True, checks=True, max_attempts=4)
+    drive = Drive(fleet_settings(limits=limits), workers=workers)
+    drive.tell(**{name: {"free_slots": 4.0} for name in drive.names})
+    request, sent = drive.request(expected_us=60 * MS)
+    assert len(sent) == 1
+    copies = [a for a in drive.step(TimerFired(), after=240 * MS) if isinstance(a, Send)]
+    if workers == WORKERS:
+        assert [a.request for a in copies] == [request] and copies[0].worker != sent[0].worker
+    else:  # few workers are known well: a copy waits for the usual time of jobs
+        assert not copies
+
+
+def test_copies_stay_a_share_of_first_tries() -> None:
+    """Copies must not feed an overload: in the long run at most COPY_MANY of them for each request."""
+    limits = Limits(cancel=True, second_copies=True, checks=True, max_attempts=4)
+    drive = Drive(fleet_settings(limits=limits), workers=WORKERS)
+    firsts = copies = 0
+    for _ in range(200):
+        drive.tell(**{name: {"free_slots": 4.0 + drive.now / 1e9} for name in drive.names[:20]})
+        request, sent = drive.request(expected_us=MS, after=5 * MS)
+        more = [a for a in drive.step(TimerFired(), after=250 * MS) if isinstance(a, Send)]
+        firsts, copies = firsts + len(sent), copies + len(more)
+        drive.ended(request, 0, sent[0].worker)
+        for n, copy in enumerate(more):
+            drive.ended(request, n + 1, copy.worker, Outcome.WITHDRAWN, closed=True)
+    assert firsts == 200
+    assert 0.2 * firsts <= copies <= COPY_BURST + COPY_MANY * firsts + 1
