A request that found no connection is tried in another zone first

Change: where senders are many, a request whose attempt found no connection is drawn first among senders of other zones that have not lost theirs.

--- a/tansygw/decide.py
+++ b/tansygw/decide.py
@@ -681,16 +681,21 @@
                 wanted[kind] = min(room / load, wanted.get(kind, 1.0))
         return wanted
 
-    def _draw(self, request: Request, other_than: Worker | None = None, roomy: bool = False) -> Worker | None:
+    def _draw(
+        self, request: Request, other_than: Worker | None = None, roomy: bool = False, elsewhere: bool = False
+    ) -> Worker | None:
         """The rule: a worker with probability proportional to 1 - u_j, or evenly where all are full.
 
-        With ``roomy`` only a worker that has room for the job will do.
+        With ``roomy`` only a worker that has room for the job will do; with ``elsewhere`` only one that is
+        in another zone than ``other_than`` and has not lost its connections.
         """
         now, settings = self.now, self.settings
         fit = [
             w for w in self.ready
             if w is not other_than and self._may_get(w, request) and request.may_send(w, now, settings)
         ]
+        if elsewhere and other_than is not None:
+            fit = [w for w in fit if w.zone != other_than.zone and w.lost_at is None]
         if not fit:
             return None
         heard = [w for w in fit if w.heard is not None and w.total > 0]
@@ -788,7 +793,14 @@
         return True
 
     def _place(self, request: Request, other_than: Worker | None = None) -> bool:
-        worker = self._draw(request, other_than) or (self._draw(request) if other_than else None)
+        worker = None
+        if other_than is not None:
+            if other_than.lost_at is not None and len(self.ready) > MANY:
+                # Where no connection is to be had, others of its zone may be gone with it: the few attempts
+                # of a request must not all be spent there.
+                worker = self._draw(request, other_than, elsewhere=True)
+            worker = worker or self._draw(request, other_than)
+        worker = worker or self._draw(request)
         return worker is not None and self._send(request, worker)
 
     def _hold(self, request: Request) -> None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -24,6 +24,7 @@
     Settings,
     Subscribe,
     TimerFired,
+    WorkerEntry,
     WorkerList,
 )
 from tests.world import MS, SECOND, Drive, settings
@@ -198,3 +199,20 @@
             drive.ended(request, n + 1, copy.worker, Outcome.WITHDRAWN, closed=True)
     assert firsts == 200
     assert 0.2 * firsts <= copies <= COPY_BURST + COPY_MANY * firsts + 1
+
+
+def test_a_request_that_found_no_connection_is_tried_in_another_zone() -> None:
+    """A zone that is lost takes all its workers: four attempts there would leave nothing for the others."""
+    drive = Drive(fleet_settings(), workers=0)
+    entries = tuple(WorkerEntry(f"w{n}", zone=n % 2) for n in range(WORKERS))
+    drive.step(WorkerList(ListKind.COMPLETE, entries))
+    zones = {entry.worker: entry.zone for entry in entries}
+    again = 0
+    for _ in range(20):
+        request, sent = drive.request()
+        actions = drive.ended(request, 0, sent[0].worker, Outcome.UNREACHABLE)
+        for action in actions:
+            if isinstance(action, Send):
+                again += 1
+                assert zones[action.worker] != zones[sent[0].worker]
+    assert again == 20
