A report of more slots than any machine has is not taken

Seen in a test: one report of 1e300 free slots stood as the sender's size for good; it read full from then on, and as a cold sender its budget had no end (_cold_room takes the size from it). Change: such a figure is none.

--- a/tansygw/decide.py
+++ b/tansygw/decide.py
@@ -86,6 +86,7 @@
 PACE_PRIOR = 5.0  # run times spread widely: so many of them weigh as much as what was believed before
 PACE_KEEP = 0.9  # a worker's pace is that of about its last ten jobs: slowness comes and goes
 
+SLOTS_MOST = 10_000.0  # no machine has more slots: such a figure would stand as T_j and open a cold budget
 SECOND = 1_000_000  # microseconds
 NEVER_RAN = frozenset((Outcome.OVERLOADED, Outcome.UNREACHABLE, Outcome.VOID, Outcome.REJECTED))
 
@@ -258,6 +259,8 @@
             self.heard = now
             return False
         free, util = _number(report.get("free_slots")), _number(report.get("util"))
+        if free is not None and free > SLOTS_MOST:
+            free = None
         if free is None and util is None:
             return False
         self.figures = report
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -26,6 +26,7 @@
     TimerFired,
     WorkerEntry,
     WorkerList,
+    WorkerState,
 )
 from tests.world import MS, SECOND, Drive, settings
 
@@ -216,3 +217,31 @@
                 again += 1
                 assert zones[action.worker] != zones[sent[0].worker]
     assert again == 20
+
+
+@pytest.mark.parametrize("free", [1e300, -3.0, float("nan"), float("inf")])
+def test_a_report_without_sense_changes_nothing(free: float) -> None:
+    """A huge figure would make the sender read full for good, and a cold one fit for any load."""
+    drive = Drive(fleet_settings(), workers=WORKERS)
+    drive.tell(**{name: {"free_slots": 4.0} for name in drive.names})
+    drive.tell(w7={"free_slots": free})
+    worker = drive.dispatcher.workers["w7"]
+    assert worker.total == 4.0 and worker.free == 4.0
+    assert drive.request()[1]
+
+
+def test_a_zone_gone_in_one_tick_an_empty_list_and_doubled_entries() -> None:
+    """Nothing is sent to who is gone; with nobody left requests wait or are refused, and all comes back."""
+    drive = Drive(fleet_settings(), workers=0)
+    entries = [WorkerEntry(f"w{n}", zone=n % 4) for n in range(WORKERS)]
+    drive.step(WorkerList(ListKind.COMPLETE, tuple(entries + entries), 9))
+    assert len(drive.dispatcher.ready) == WORKERS
+    gone = tuple(WorkerEntry(e.worker, WorkerState.GONE, e.zone) for e in entries if e.zone == 0)
+    drive.step(WorkerList(ListKind.CHANGES, gone, 8))  # a version that goes back is news all the same
+    names = {e.worker for e in gone}
+    for _ in range(50):
+        assert all(s.worker not in names for s in drive.request()[1])
+    drive.step(WorkerList(ListKind.COMPLETE, (), 10))
+    assert drive.request()[1] == [] and not drive.dispatcher.ready
+    drive.step(WorkerList(ListKind.COMPLETE, tuple(entries), 11))
+    assert drive.request(after=100 * MS)[1]
