Two constants that had become one go; the test for many senders stands in one place

Change: they go, _many() holds the comparison, the constants stand by their kind; the tests share one set of limits.

--- a/tansygw/decide.py
+++ b/tansygw/decide.py
@@ -59,13 +59,12 @@
 START_MULTIPLE = 4.0  # ... and later than so many prompt start delays, so that slow networks are no illness
 START_QUANTILE = 0.25  # a delay that even in overload most starts exceed: the network's, not the queues'
 COPY_WAIT = 0.35  # a copy goes out once this share of the slack is gone: most waits end by themselves
-COPY_MANY = 0.35  # ... where workers are many: a draw by old figures goes wrong more often, a copy mends it
-HINT_MULTIPLE = 1.0  # a job that takes so many times its expected time, and part of its aim, waits in a queue
 COPY_SHARE = 0.15  # second copies and retries by this share of first tries: overload must not feed itself
+COPY_MANY = 0.35  # ... where workers are many: a draw by old figures goes wrong more often, a copy mends it
 COPY_BURST = 5.0  # ... with so many saved up
+MANY = 30.0  # of more workers than this a dispatcher sees too little of each
 CHECK_COST = 0.006  # points of the result that checks may cost
-MANY = 30.0  # of more workers than this a dispatcher sees too little of each: its checks may cost more
-CHECK_MORE = 2.0  # ... in proportion, up to so many times as much
+CHECK_MORE = 2.0  # where workers are many, in proportion, up to so many times as much
 CHECK_RATE = 2.0  # top rate of checks by the spacing of new figures: a figure is seen soon after it is made
 CHECK_APART = 10_000  # microseconds between the checks that a worker may get from the whole group
 LIST_APART = 120_000  # microseconds that one list may cost the service: the whole group asks it
@@ -81,7 +80,6 @@
 PROOFS = 3  # after an error so many jobs must succeed in a row, one at a time: most errors are only frequent
 ERRORS_SICK = 0.3  # errors a second that a worker reports; healthy ones have one in minutes
 COLD_BUDGET = 0.4  # of what a cold worker can stand in a window, this share is sent: jobs differ in size
-COLD_POWER = 1.0  # a cold worker's weight is its present capacity share to this power: chance needs slack
 CROSS_WEIGHT = 32.0  # by so many times the price of crossing zones a worker elsewhere counts for less
 PACE_PRIOR = 5.0  # run times spread widely: so many of them weigh as much as what was believed before
 PACE_KEEP = 0.9  # a worker's pace is that of about its last ten jobs: slowness comes and goes
@@ -440,6 +438,10 @@
             else:
                 self._subscribe(self)
 
+    def _many(self) -> bool:
+        """More workers than our own checks can keep fresh figures of."""
+        return len(self.ready) > MANY
+
     def _list_turns(self) -> float:
         """How long the service of lists may need for one call of every dispatcher."""
         return float(self.settings.group_size * LIST_APART)
@@ -755,14 +757,14 @@
             elif not w.waiting or not self._stuck(w):
                 short.append(w)
             if w.cold_from is not None:
-                weight = min(weight, mean) * w.capacity(now, settings) ** COLD_POWER
+                weight = min(weight, mean) * w.capacity(now, settings)
             weights.append(weight)
         whole = sum(weights)
         if whole <= 0.0:
             if roomy or not short:
                 return None
             fit = short
-            weights = [w.capacity(now, settings) ** COLD_POWER for w in fit]
+            weights = [w.capacity(now, settings) for w in fit]
             whole = sum(weights)
         point = self.random.random() * whole
         for w, weight in zip(fit, weights, strict=True):
@@ -790,15 +792,15 @@
         if self.settings.tells_start:
             worker.waiting[attempt] = None
             wait = max(self._patience(request.info), COPY_WAIT * self._slack(request.cls))
-        elif request.expected_us and len(self.ready) > MANY:
-            wait = min(wait, HINT_MULTIPLE * request.expected_us + COPY_WAIT * request.info.aim_us)
+        elif request.expected_us and self._many():
+            wait = min(wait, request.expected_us + COPY_WAIT * request.info.aim_us)
         self._at(now + wait, self._follow_up, attempt)
         return True
 
     def _place(self, request: Request, other_than: Worker | None = None) -> bool:
         worker = None
         if other_than is not None:
-            if other_than.lost_at is not None and len(self.ready) > MANY:
+            if other_than.lost_at is not None and self._many():
                 # Where no connection is to be had, others of its zone may be gone with it: the few attempts
                 # of a request must not all be spent there.
                 worker = self._draw(request, other_than, elsewhere=True)
@@ -891,7 +893,7 @@
             self.tokens[t] = min(quota, self.tokens[t] + quota * self.part * spent / SECOND)
         for c in range(len(self.shares)):
             self.shares[c] += SPACING_STEP / 4 * ((c == event.cls) - self.shares[c])
-        share = COPY_MANY if len(self.ready) > MANY else COPY_SHARE
+        share = COPY_MANY if self._many() else COPY_SHARE
         self.copies = min(COPY_BURST, self.copies + share)
         request = Request(event, self.settings.classes[event.cls], now)
         if self._over_share(event.tenant):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -32,6 +32,7 @@
 
 GROUP = 40
 WORKERS = 60
+COPIES = Limits(cancel=True, second_copies=True, checks=True, max_attempts=4)
 
 
 def fleet_settings(**more: Any) -> Settings:
@@ -173,8 +174,7 @@
 @pytest.mark.parametrize("workers", [12, WORKERS])
 def test_where_workers_are_many_a_late_job_gets_a_copy_by_its_expected_time(workers: int) -> None:
     """A job of 60 ms that is not back after 100 ms waits in a queue that the old figures did not show."""
-    limits = Limits(cancel=True, second_copies=True, checks=True, max_attempts=4)
-    drive = Drive(fleet_settings(limits=limits), workers=workers)
+    drive = Drive(fleet_settings(limits=COPIES), workers=workers)
     drive.tell(**{name: {"free_slots": 4.0} for name in drive.names})
     request, sent = drive.request(expected_us=60 * MS)
     assert len(sent) == 1
@@ -187,8 +187,7 @@
 
 def test_copies_stay_a_share_of_first_tries() -> None:
     """Copies must not feed an overload: in the long run at most COPY_MANY of them for each request."""
-    limits = Limits(cancel=True, second_copies=True, checks=True, max_attempts=4)
-    drive = Drive(fleet_settings(limits=limits), workers=WORKERS)
+    drive = Drive(fleet_settings(limits=COPIES), workers=WORKERS)
     firsts = copies = 0
     for _ in range(200):
         drive.tell(**{name: {"free_slots": 4.0 + drive.now / 1e9} for name in drive.names[:20]})
