The operators' door: STATUS, METRICS, PAUSE and RESUME; the listener may be inherited

Design: one state of the process (core/lifecycle.py: starting, serving, paused, ending) that /healthz, the door, the caller legs and SIGTERM read; one owner of the counters (core/tally.py), fed where a transaction settles; the door is a coroutine first in each turn of the loop, its callers out of descriptors kept aside. Idle legs leave one after another. Not taken: a thread for the door; it would answer as soon, but read the node's state from outside the one loop. Cause of the draining flag's trouble: it was set 0.5 s after SIGTERM and could not be taken back (net/caller.py, drain).

--- a/rushsaddle/config.py
+++ b/rushsaddle/config.py
@@ -23,6 +23,8 @@
 class Config:
     name: str
     listen: Address
+    inherited_fd: int | None  # a listening socket that is there already, instead of ``listen``
+    admin: Address | None  # the operators' door; None: there is none
     discovery: Address
     seed: int
     sockets: int
@@ -56,6 +58,15 @@
         raise ConfigError(f"seed: {text!r} is not a hexadecimal number") from None
 
 
+def _descriptor(text: str | None) -> int | None:
+    """A descriptor that this process has inherited; that it is open is seen when it is used."""
+    if not text:
+        return None
+    if not (text.isascii() and text.isdigit() and len(text) <= 9):
+        raise ConfigError(f"GW_INHERITED_FD: {text!r} is not the number of a descriptor")
+    return int(text)
+
+
 def read(env: Mapping[str, str] = os.environ) -> Config:
     path = env.get("GW_CONFIG")
     if not path:
@@ -93,10 +104,13 @@
     sockets = int(limits.get("sockets", 1024))
     if sockets < 64:
         raise ConfigError("limits.sockets: at least 64 are needed")
+    admin = env.get("GW_ADMIN_ADDR") or data.get("admin_addr")
     idle_us = (raw.get("Limits") or {}).get("ConnIdleUs", 60_000_000)
     return Config(
         name=str(env.get("GW_NAME") or data.get("name") or "node"),
         listen=_address("listen", env.get("GW_LISTEN") or data.get("listen")),
+        inherited_fd=_descriptor(env.get("GW_INHERITED_FD")),
+        admin=_address("admin_addr", admin) if admin else None,
         discovery=_address("discovery", env.get("GW_DISCOVERY") or data.get("discovery")),
         seed=_seed(data.get("seed", "0")),
         sockets=sockets,
--- a/rushsaddle/core/decider.py
+++ b/rushsaddle/core/decider.py
@@ -32,6 +32,7 @@
 
 from .log import Log as EventLog
 from .loop import Coroutine, Loop, Task, Wait
+from .tally import Tally
 from .transaction import Answer, Branch, Job, Transaction, Verdict
 
 
@@ -46,7 +47,7 @@
 class Decider:
     def __init__(
         self, loop: Loop, log: EventLog, dispatcher: Dispatcher, tick_us: int, max_attempts: int,
-        on_fault: Callable[[], None],
+        on_fault: Callable[[], None], tally: Tally,
     ) -> None:
         self.loop = loop
         self.log = log
@@ -54,6 +55,7 @@
         self.tick_us = tick_us
         self.max_attempts = max_attempts
         self.on_fault = on_fault  # the decisions are broken: the node cannot go on
+        self.tally = tally
         self.hops: Hops | None = None
         self.subscribe: Callable[[], None] = lambda: None
         self.transactions: dict[int, Transaction] = {}
@@ -85,8 +87,9 @@
         """
         self._count += 1
         self.names.add(name)
+        self.tally.taken(job.cls)
         transaction = Transaction(
-            self._count, name, job, payload, received_us, deadline_us, self.put, on_answer, self.on_over
+            self._count, name, job, payload, received_us, deadline_us, self.put, on_answer, self._over
         )
         transaction.gate = gate
         transaction.earlier = earlier
@@ -94,6 +97,11 @@
         self._enqueue(transaction)
         return transaction
 
+    def _over(self, transaction: Transaction) -> None:
+        self.tally.over(transaction)
+        if self.on_over is not None:
+            self.on_over(transaction)
+
     def _enqueue(self, item: Event | Transaction) -> None:
         self._queue.append(item)
         if self._task is not None:
--- a/rushsaddle/core/loop.py
+++ b/rushsaddle/core/loop.py
@@ -36,10 +36,11 @@
 class Task:
     """One coroutine and what it waits for."""
 
-    __slots__ = ("done", "fd", "generator", "queued", "round")
+    __slots__ = ("done", "fd", "generator", "queued", "round", "urgent")
 
-    def __init__(self, generator: Coroutine[None]) -> None:
+    def __init__(self, generator: Coroutine[None], urgent: bool) -> None:
         self.generator = generator
+        self.urgent = urgent  # before all others in a turn
         self.fd = -1
         self.round = 0  # tells timers of an earlier wait from those of this one
         self.queued = False
@@ -68,8 +69,8 @@
         self._count = 0
         self._runnable: deque[tuple[Task, int]] = deque()
 
-    def spawn(self, generator: Coroutine[None]) -> Task:
-        task = Task(generator)
+    def spawn(self, generator: Coroutine[None], urgent: bool = False) -> Task:
+        task = Task(generator, urgent)
         self.wake(task)
         return task
 
@@ -77,7 +78,10 @@
         """Resume a coroutine in this turn; one that is already to be resumed stays so."""
         if not task.queued and not task.done:
             task.queued = True
-            self._runnable.append((task, mask))
+            if task.urgent:
+                self._runnable.appendleft((task, mask))
+            else:
+                self._runnable.append((task, mask))
 
     def forget(self, fd: int) -> None:
         """The descriptor is about to be closed by its owner."""
--- a/rushsaddle/net/caller.py
+++ b/rushsaddle/net/caller.py
@@ -19,9 +19,9 @@
 
 from ..core.admission import Limiter, Turned
 from ..core.decider import Decider
+from ..core.lifecycle import Lifecycle, Phase
 from ..core.log import Log
 from ..core.loop import Coroutine, Loop, Task, Wait
-from ..core.names import Address
 from ..core.transaction import Answer, Job, Transaction, Verdict
 from .http import (
     BODY_MOST,
@@ -36,6 +36,7 @@
     retry_after,
     status_of,
 )
+from .listener import Listener
 from .nexthop import NextHops
 
 IDLE_US = 75_000_000  # a leg may stand idle for so long between requests
@@ -47,8 +48,10 @@
 WRITE_US = 10_000_000  # an answer must be taken within this time
 FULL_US = 20_000  # pause of accepting when there is no socket to be had
 DRAIN_ACCEPT_US = 500_000  # after SIGTERM new connections go on coming for a moment
-DRAIN_IDLE_US = 500_000  # a leg taken from the backlog at the very end may send its request within this
-BACKLOG = 512
+DRAIN_IDLE_US = 500_000  # a leg that comes while the node empties may send its request within this
+# Idle legs are closed one after another, in this span after the word: most callers use theirs before and are
+# told by its answer.  What comes later than 0.7 s after SIGTERM may be lost, so there it is a short one.
+LEAVE_US = {Phase.PAUSED: (500_000, 1_500_000), Phase.ENDING: (200_000, 600_000)}
 TIMEOUT_MOST = 86_400.0  # seconds; no figure of a caller may grow without bound in the decisions
 ATTR_MOST = 1e6
 COST_MOST = 1e12
@@ -85,7 +88,7 @@
 
 
 class Leg:
-    __slots__ = ("evicted", "idle", "opened_us", "proven", "stream", "task")
+    __slots__ = ("evicted", "idle", "leave_us", "opened_us", "proven", "stream", "task")
 
     def __init__(self, stream: Stream, now: int) -> None:
         self.stream = stream
@@ -93,13 +96,14 @@
         self.proven = False  # a request of it was sound
         self.idle = False  # waits for the first byte of a request
         self.evicted = False  # is to make room
+        self.leave_us: int | None = None  # idle until then, it is closed: the node empties
         self.task: Task | None = None
 
 
 class Callers:
     def __init__(
         self, loop: Loop, log: Log, decider: Decider, hops: NextHops, classes: Mapping[str, Class],
-        tenants: Mapping[str, int], budget: int,
+        tenants: Mapping[str, int], budget: int, life: Lifecycle,
     ) -> None:
         self.loop = loop
         self.log = log
@@ -111,26 +115,24 @@
         self.legs: dict[Leg, None] = {}
         self.desk: Desk | None = None  # where jobs may wait
         self.limiter: Limiter | None = None
-        self.draining = False  # no more requests than those that are on the way
-        self._listener: socket.socket | None = None
+        self.life = life
+        life.watch(self._changed)
+        self._listener: Listener | None = None
         self._acceptor: Task | None = None
 
     # ------------------------------------------------------------ accepting
 
-    def listen(self, address: Address) -> str:
-        """Take connections from here on; the address, which names the port where 0 was asked for."""
-        self._listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._listener.bind(address)
-        self._listener.listen(BACKLOG)
-        self._acceptor = self.loop.spawn(self._accept(self._listener))
-        host, port = self._listener.getsockname()
-        return f"{host}:{port}"
-
-    def _accept(self, listener: socket.socket) -> Coroutine[None]:
-        while not self.draining:
-            yield Wait(listener.fileno(), select.EPOLLIN)
-            if len(self.legs) >= self.budget or not self._accept_some(listener, ACCEPT_MOST):
+    def listen(self, listener: Listener) -> None:
+        """Take connections from here on; the listener is ours to close."""
+        self._listener = listener
+        self._acceptor = self.loop.spawn(self._accept(listener))
+
+    def _accept(self, listener: Listener) -> Coroutine[None]:
+        while self._listener is listener:
+            yield Wait(listener.sock.fileno(), select.EPOLLIN)
+            if self._listener is not listener:
+                return
+            if len(self.legs) >= self.budget or not self._accept_some(listener.sock, ACCEPT_MOST):
                 self._evict()
                 if len(self.legs) < self.budget:  # the system itself has no descriptor left
                     self.hops.evict()
@@ -167,20 +169,31 @@
             leg.evicted = True
             self.wake(leg)
 
-    def drain(self) -> Coroutine[None]:
-        """Take what is on the way, then let the legs end one by one."""
-        until = self.loop.now_us() + DRAIN_ACCEPT_US
-        while self.loop.now_us() < until:
-            yield Wait(until_us=until)
+    def stop(self) -> Coroutine[None]:
+        """Take what is on the way, then no more.  A listener that others hold, too, is left to them at
+        once: what waits there is theirs.
+        """
         listener = self._listener
-        if listener is not None:
-            self._accept_some(listener, self.budget)
-            self.draining = True
-            self.loop.forget(listener.fileno())
-            listener.close()
-        for leg in self.legs:
-            if leg.idle:
-                self.wake(leg)
+        if listener is None:
+            return
+        if not listener.inherited:
+            until = self.loop.now_us() + DRAIN_ACCEPT_US
+            while self.loop.now_us() < until:
+                yield Wait(until_us=until)
+            self._accept_some(listener.sock, self.budget)
+        self._listener = None
+        self.loop.forget(listener.sock.fileno())
+        listener.close()
+
+    def _changed(self) -> None:
+        """The phase is another: idle legs look when they are to go."""
+        span = LEAVE_US.get(self.life.phase)
+        idle = [leg for leg in self.legs if leg.idle]
+        for n, leg in enumerate(idle):
+            leg.leave_us = None
+            if span is not None:
+                leg.leave_us = self.loop.now_us() + span[0] + (span[1] - span[0]) * n // len(idle)
+            self.wake(leg)
 
     # ------------------------------------------------------------ one leg
 
@@ -226,21 +239,24 @@
 
     def _idle(self, leg: Leg) -> Coroutine[bool]:
         """Wait for the first byte of a request; False where the leg is to end without one."""
-        until = leg.opened_us + READ_US
-        if self.draining:
-            until = self.loop.now_us() + DRAIN_IDLE_US
-        elif leg.proven:
-            until = self.loop.now_us() + IDLE_US
+        since = self.loop.now_us()
         leg.idle = True
+        leg.leave_us = None
         try:
-            while not (yield Wait(leg.stream.sock.fileno(), select.EPOLLIN, until)):
-                late = self.draining or leg.evicted or self.loop.now_us() >= until
+            while not (yield Wait(leg.stream.sock.fileno(), select.EPOLLIN, self._idle_until(leg, since))):
+                late = leg.evicted or self.loop.now_us() >= self._idle_until(leg, since)
                 if late and not leg.stream.readable():
                     return False
             return True
         finally:
             leg.idle = leg.evicted = False
 
+    def _idle_until(self, leg: Leg, since: int) -> int:
+        until = since + IDLE_US if leg.proven else leg.opened_us + READ_US
+        if self.life.leaving:
+            until = min(until, leg.leave_us or since + DRAIN_IDLE_US)
+        return until
+
     def _serve(self, leg: Leg, head: Any, until_us: int) -> Coroutine[bool]:
         stream = leg.stream
         headers: dict[bytes, bytes] = {}
@@ -254,7 +270,7 @@
             if head.method not in (b"GET", b"HEAD"):
                 raise BadRequest(405, "GET only", unread)
             leg.proven = not unread
-            return (yield from self.reply(leg, 503 if self.draining else 200, b"", close=unread))
+            return (yield from self.reply(leg, 200 if self.life.wanted else 503, b"", close=unread))
         if self.limiter is not None and path == b"/limits" and head.method == b"GET" and not unread:
             leg.proven = True
             json = [(b"Content-Type", b"application/json")]
@@ -278,6 +294,7 @@
         received = self.loop.now_us()
         name = headers[b"x-request-id"].decode("ascii")
         if name in self.decider.names or (desk is not None and desk.known(name)):
+            self.decider.tally.early(cls.number, 409)
             raise BadRequest(409, "X-Request-ID: the id of an open request", unread=False)
         payload = Request(name, head.method, head.target, end_to_end(head.headers.raw_items()), body)
         leg.proven = True
@@ -288,6 +305,7 @@
         if self.limiter is not None:
             let_in = self.limiter.admit(cls.number, path, min(wait_us, cls.deadline_us), job.repeat)
             if isinstance(let_in, Turned):
+                self.decider.tally.early(cls.number, let_in.status)
                 more = retry_after(let_in.back_us)
                 return (yield from self.reply(leg, let_in.status, f"{let_in.why}\n".encode(), more))
             wait_us = min(wait_us, let_in.timeout_us)
@@ -362,7 +380,7 @@
     ) -> Coroutine[bool]:
         stream = leg.stream
         headers = [(b"Content-Length", b"%d" % len(body)), *(more or [])]
-        if close or self.draining:
+        if close or self.life.leaving:
             headers.append((b"Connection", b"close"))
         events: list[Any] = [h11.Response(
             status_code=status, reason=HTTPStatus(status).phrase.encode(), headers=headers
--- /dev/null
+++ b/rushsaddle/net/listener.py
@@ -0,0 +1,54 @@
+"""The socket that callers connect to: opened here, or inherited from whoever started the process."""
+
+from __future__ import annotations
+
+import os
+import socket
+
+from ..core.names import Address
+
+BACKLOG = 512
+
+
+class NoListener(Exception):
+    """Why there is none, in one line."""
+
+
+class Listener:
+    """Its one owner.  It is closed and never shut down: other processes may hold the same socket."""
+
+    def __init__(self, sock: socket.socket, inherited: bool) -> None:
+        sock.setblocking(False)
+        self.sock = sock
+        self.inherited = inherited
+        host, port = sock.getsockname()
+        self.name = f"{host}:{port}"
+
+    def close(self) -> None:
+        self.sock.close()
+
+
+def opened(address: Address) -> Listener:
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(address)
+        sock.listen(BACKLOG)
+    except OSError as error:
+        sock.close()
+        raise NoListener(f"cannot listen on {address}: {error}") from None
+    return Listener(sock, inherited=False)
+
+
+def inherited(fd: int) -> Listener:
+    """The listening socket that this descriptor is; raises NoListener where it is none."""
+    try:
+        sock = socket.socket(fileno=fd)
+    except OSError as error:
+        raise NoListener(f"GW_INHERITED_FD: {fd} is not an open socket: {error.strerror}") from None
+    stream = sock.family == socket.AF_INET and sock.type & socket.SOCK_STREAM
+    if not stream or not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+        sock.detach()
+        raise NoListener(f"GW_INHERITED_FD: {fd} is not a listening IPv4 stream socket")
+    os.set_inheritable(fd, False)
+    return Listener(sock, inherited=True)
--- a/rushsaddle/net/nexthop.py
+++ b/rushsaddle/net/nexthop.py
@@ -111,7 +111,7 @@
 class NextHops:
     def __init__(
         self, loop: Loop, log: Log, put: Callable[[Event], None], budget: int, connect_timeout_us: int,
-        idle_us: int, report_names: dict[str, str],
+        idle_us: int, report_names: dict[str, str], on_sent: Callable[[], None],
     ) -> None:
         self.loop = loop
         self.log = log
@@ -121,6 +121,7 @@
         self.probe_timeout_us = 2 * connect_timeout_us
         self.keep = Keep(idle_us)
         self.report_names = report_names
+        self.on_sent = on_sent  # told of each branch that is written whole
         self.hops: dict[str, Hop] = {}
         self.open = 0
 
@@ -237,6 +238,8 @@
         while not (yield from stream.flush(patience.until_us)):
             self._check_patience(patience)
         connection.written = True
+        if isinstance(patience, Branch):
+            self.on_sent()
         while True:
             event = yield from self._next(connection, patience)
             if isinstance(event, h11.Response):
--- a/rushsaddle/node.py
+++ b/rushsaddle/node.py
@@ -16,8 +16,12 @@
 
 from . import config
 from .core.decider import Decider
+from .core.lifecycle import Lifecycle
 from .core.log import Log
 from .core.loop import Clock, Coroutine, Loop, Wait
+from .core.names import Address
+from .core.tally import Tally
+from .net import listener
 from .net.caller import Callers, Class
 from .net.discovery import Discovery
 from .net.nexthop import NextHops
@@ -76,15 +80,17 @@
 
             self.log = StructuredLog(told.name, clock.now_us, self.operator.log.format == "text")
         self.loop = Loop(clock, lambda error: self.log.error("a connection's code failed", error))
+        self.life = Lifecycle()
+        self.tally = Tally(len(settings.classes))
         self.decider = Decider(
             self.loop, self.log, Dispatcher(settings, told.seed), settings.tick_us, limits.max_attempts,
-            self.fault,
+            self.fault, self.tally,
         )
         budget = _budget(told.sockets)
         connect_us = limits.connect_timeout_us or 250_000
         self.hops = NextHops(
             self.loop, self.log, self.decider.put, budget, connect_us, told.conn_idle_us // 2,
-            told.report_names,
+            told.report_names, self.tally.sent,
         )
         self.decider.hops = self.hops
         self.discovery = Discovery(
@@ -93,7 +99,9 @@
         self.decider.subscribe = self.discovery.subscribe
         classes = {c.name: Class(n, c.deadline_us) for n, c in enumerate(settings.classes)}
         tenants = {name: n for n, name in enumerate(told.tenant_names)}
-        self.callers = Callers(self.loop, self.log, self.decider, self.hops, classes, tenants, budget)
+        self.callers = Callers(
+            self.loop, self.log, self.decider, self.hops, classes, tenants, budget, self.life
+        )
         self.deadline_us = max(c.deadline_us for c in settings.classes)
         self.told = told
         self.waiting: Waiting | None = None
@@ -109,22 +117,37 @@
         self.reader: Reader | None = None
 
     def run(self, signals: socket.socket) -> int:
-        """Serve until a signal to end; raises OSError where the address is not to be had."""
+        """Serve until a signal to end; raises NoListener where an address is not to be had."""
         told = self.told
-        listen = self.callers.listen(told.listen)
+        fd = told.inherited_fd
+        listen = listener.opened(told.listen) if fd is None else listener.inherited(fd)
+        door = self._open_door(told.admin) if told.admin is not None else None
+        self.callers.listen(listen)
         self.discovery.start(told.known)
         self.decider.start()
         if self.waiting is not None:
             self.waiting.start()
         self.loop.spawn(self.hops.sweep())
         self.loop.spawn(self._heed(signals))
-        self.log.event("ready", listen=listen, next_hops=len(self.hops.hops))
+        self.life.ready()
+        self.log.event("ready", listen=listen.name, door=door, next_hops=len(self.hops.hops))
         self.loop.run()
         if self.waiting is not None:
             self.waiting.close()
         self.log.event("stopped", code=self.code)
         return self.code
 
+    def _open_door(self, address: Address) -> str:
+        from .admin import figures
+        from .admin.door import Door
+
+        def lines() -> list[str]:
+            return figures.lines(self.tally, self.told.class_names, *self.decider.dispatcher.census())
+
+        listen = listener.opened(address)
+        Door(self.loop, self.log, self.life, lines).listen(listen)
+        return listen.name
+
     def fault(self) -> None:
         """The decisions failed: nothing that goes on without them can be trusted."""
         self.code = 1
@@ -132,14 +155,12 @@
 
     def _heed(self, signals: socket.socket) -> Coroutine[None]:
         """The one task for signals: a byte each, its number."""
-        draining = False
         while True:
             yield Wait(signals.fileno(), select.EPOLLIN)
             told = signals.recv(4096)
             if signal.SIGHUP in told:
                 self._reload()
-            if not draining and (signal.SIGTERM in told or signal.SIGINT in told):
-                draining = True
+            if (signal.SIGTERM in told or signal.SIGINT in told) and self.life.end():
                 self.loop.spawn(self._drain())
 
     def _reload(self) -> None:
@@ -182,7 +203,7 @@
         self.log.event("draining", legs=len(self.callers.legs))
         if self.waiting is not None:
             self.waiting.drain()
-        yield from self.callers.drain()
+        yield from self.callers.stop()
         until = self.loop.now_us() + self.deadline_us
         while self.loop.now_us() < until and (self.callers.legs or self.decider.transactions):
             yield Wait(until_us=self.loop.now_us() + DRAIN_LOOK_US)
@@ -203,8 +224,8 @@
     gc.set_threshold(*GC)
     try:
         return node.run(signals)
-    except OSError as error:
-        print(f"rushsaddle: cannot listen on {node.told.listen}: {error}", file=sys.stderr)
+    except listener.NoListener as error:
+        print(f"rushsaddle: {error}", file=sys.stderr)
         return 2
 
 
--- a/tansygw/decide.py
+++ b/tansygw/decide.py
@@ -208,14 +208,15 @@
     """What this dispatcher knows of one worker."""
 
     __slots__ = ("asked", "blocked", "cell", "cold_credit", "cold_from", "cold_paid", "delta", "down",
-                 "errors", "faults", "figures", "free", "heard", "kind", "live", "lost_at", "memory", "moves",
-                 "name", "out", "pace", "past", "proofs", "ready", "retry_at", "risk_at", "seats", "seen",
-                 "started_us", "strikes", "total", "trial", "waiting", "well_at", "zone")
+                 "errors", "faults", "figures", "free", "heard", "kind", "listed", "live", "lost_at",
+                 "memory", "moves", "name", "out", "pace", "past", "proofs", "ready", "retry_at", "risk_at",
+                 "seats", "seen", "started_us", "strikes", "total", "trial", "waiting", "well_at", "zone")
 
     def __init__(self, name: str) -> None:
         self.name = name
         self.zone = self.kind = self.cell = 0
         self.ready = False
+        self.listed = False  # discovery names it, ready or not
         self.live = True
         self.started_us = 0
         self.cold_from: int | None = None  # when it started, while it may be cold
@@ -426,7 +427,7 @@
         if event.kind is not ListKind.CHANGES:
             for worker in self.workers.values():
                 if worker.name not in named:
-                    worker.ready = False
+                    worker.ready = worker.listed = False
         self.ready = [w for w in self.workers.values() if w.ready]
         if not self.arrivals:
             self.last_arrival = self.now  # the silence before the first request counts from the start
@@ -465,6 +466,7 @@
                 self._at(self.now + self.random.random() * spread, self._check, worker)
         worker.zone, worker.kind, worker.cell = entry.zone, entry.kind, entry.cell
         worker.ready = entry.state is WorkerState.READY
+        worker.listed = entry.state is not WorkerState.GONE
         if entry.started_us > worker.started_us:
             worker.started_us = entry.started_us
             worker.forget()
@@ -646,12 +648,16 @@
         kind = request.info.kind
         if kind >= 0 and worker.kind != kind:
             return False
-        if worker.faults and (worker.trial is not None or self.now < worker.retry_at):
+        if self._left_out(worker):
             return False
         if worker.proofs > 1 and request.info.effect is Effect.FRAGILE and self.now < worker.risk_at:
             return False  # where errors are likely, first what may be tried elsewhere afterwards
         return worker.cold_from is None or self._cold_room(worker)
 
+    def _left_out(self, worker: Worker) -> bool:
+        """Ill: it waits for its trial, or has it now."""
+        return worker.faults > 0 and (worker.trial is not None or self.now < worker.retry_at)
+
     def _cold_room(self, worker: Worker) -> bool:
         """This instance's part of what a cold worker can stand in any window of fall_us."""
         rules = self.settings.rules
@@ -876,6 +882,11 @@
             self.actions.append(Fail(request.id))
             self._close(request)
 
+    def census(self) -> tuple[int, int]:
+        """How many workers the list has, and how many of them are left out now: drained, or ill."""
+        listed = [w for w in self.workers.values() if w.listed]
+        return len(listed), sum(not w.ready or self._left_out(w) for w in listed)
+
     # ------------------------------------------------------------ the life of a request
 
     def _on_request(self, event: RequestArrived) -> None:
--- /dev/null
+++ b/tests/admin/test_grammar.py
@@ -0,0 +1,33 @@
+"""The grammar of the operators' door: every cut of a call, and whatever else may come."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from rushsaddle.admin.grammar import LINE_MOST, Call, Unfit, read
+
+
+@pytest.mark.parametrize("call", list(Call))
+@pytest.mark.parametrize("end", [b"\n", b"\r\n"])
+def test_a_call_is_read_once_it_is_whole_and_not_before(call: Call, end: bytes) -> None:
+    whole = call.encode() + end
+    assert read(whole, ended=False) is call and read(whole, ended=True) is call
+    for cut in range(len(whole)):
+        assert read(whole[:cut], ended=False) is None
+        with pytest.raises(Unfit):
+            read(whole[:cut], ended=True)
+
+
+@given(st.binary(max_size=2 * LINE_MOST), st.booleans())
+def test_whatever_comes_is_a_call_a_wait_or_a_reason(data: bytes, ended: bool) -> None:
+    try:
+        call = read(data, ended)
+    except Unfit as unfit:
+        assert "\n" not in str(unfit) and str(unfit)
+        return
+    if call is None:
+        assert not ended and b"\n" not in data and len(data) <= LINE_MOST
+    else:
+        assert data in (call.encode() + b"\n", call.encode() + b"\r\n")
--- a/tests/play.py
+++ b/tests/play.py
@@ -3,9 +3,9 @@
 A recording is a text file.  ``#`` begins a comment, ``set NAME JSON`` changes a setting, and the other
 lines are steps of named parties:
 
-    c opens | a accepts h1 | w accepts discovery      a connection is there under the first name
+    c opens | d opens door | a accepts h1 | w accepts discovery      the connection gets the first name
     c sends, c gets                                   the bytes follow in lines that begin with ``|``
-    c closes | c resets | c sees the end | h1 stops | h1 fills
+    c closes | c resets | c ends its sending | c sees the end | h1 stops | h1 fills
     config moves to discovery2 | config names KEY JSON | config breaks
     pause 0.5 | signal TERM | node ends 0 | node says TEXT | node dies | node starts
     set operator waiting.store "{folder}"             a setting of the operator, by the environment
@@ -70,7 +70,7 @@
         self.operator: dict[str, str] = {}
         self.node: subprocess.Popen[bytes] | None = None
         self.told: dict[str, Any] = {}  # the configuration that it started with
-        self.port = 0  # of the node, which takes a free one and says which
+        self.port = self.door = 0  # of the node and its operators' door, which take free ones and say which
 
     # ------------------------------------------------------------ the node
 
@@ -82,13 +82,13 @@
         ]
         discovery = f"127.0.0.1:{self.ports['discovery']}"
         self.told = {
-            "name": "n0", "listen": "127.0.0.1:0", "seed": "1f", "limits": self.limits,
-            "discovery": discovery, "settings": self.settings,
+            "name": "n0", "listen": "127.0.0.1:0", "admin_addr": "127.0.0.1:0", "seed": "1f",
+            "limits": self.limits, "discovery": discovery, "settings": self.settings,
             "known": {"rev": 41, "all": True, "targets": targets},
         }
         self.configure(json.dumps(self.told))
         env = {**os.environ, "GW_CONFIG": str(self.folder / "config.json"), "GW_DISCOVERY": discovery}
-        for name in ("GW_NAME", "GW_LISTEN"):
+        for name in ("GW_NAME", "GW_LISTEN", "GW_ADMIN_ADDR", "GW_INHERITED_FD"):
             env.pop(name, None)
         env |= self.operator
         before = len(self.log()) if (self.folder / "log").exists() else 0
@@ -99,10 +99,11 @@
         if self.files:
             resource.prlimit(self.node.pid, resource.RLIMIT_NOFILE, (self.files, self.files))
         until = time.monotonic() + PATIENCE
-        while (found := re.search(r'"ready","listen":"127.0.0.1:(\d+)"', self.log()[before:])) is None:
+        ready = r'"ready","listen":"127.0.0.1:(\d+)","door":"127.0.0.1:(\d+)"'
+        while (found := re.search(ready, self.log()[before:])) is None:
             assert self.node.poll() is None and time.monotonic() < until, "the node did not start"
             time.sleep(0.01)
-        self.port = int(found[1])
+        self.port, self.door = int(found[1]), int(found[2])
 
     def configure(self, text: str) -> None:
         (self.folder / "config.json").write_text(text)
@@ -164,6 +165,10 @@
         match words:
             case [name, "opens"]:
                 self.open[name] = socket.create_connection(("127.0.0.1", self.port), PATIENCE)
+            case [name, "opens", "door"]:
+                self.open[name] = socket.create_connection(("127.0.0.1", self.door), PATIENCE)
+            case [name, "ends", "its", "sending"]:
+                self.open[name].shutdown(socket.SHUT_WR)
             case [name, "accepts", where]:
                 self.open[name] = self.listeners[where].accept()[0]
                 self.open[name].settimeout(PATIENCE)
