A newer process takes over callers' connections at SIGTERM, as they are

Need: a job that ends at the door while the process is replaced is paid for; closing an idle connection crosses with a request now and then, however gently it is done, and every caller has to connect anew. Design: two processes on one inherited socket meet at a Unix socket in $TMPDIR. The newer one waits for a list of now, serves, and says so; told to end, the older one stops accepting at once and sends each connection that stands between requests, with what was read of the next head, to the newer one as a descriptor. Side by side each has half of the descriptors; who dies leaves the other all. What is left in the folder by others does nothing: nobody answers there. Not taken: draining with Connection: close and idle closes alone; it needs no second channel, but loses the crossings. It is what happens where the two cannot meet. Measured: ten replacements under 12 steady callers in the tests, no reply but 200, no close, no batch twice.

--- a/rushsaddle/net/caller.py
+++ b/rushsaddle/net/caller.py
@@ -87,14 +87,21 @@
     ) -> Coroutine[bool]: ...
 
 
+class Heir(Protocol):
+    """The process that takes this one's place: callers' connections go over to it as they are."""
+
+    def give(self, sock: socket.socket, proven: bool, unread: bytes) -> None: ...
+
+
 class Leg:
-    __slots__ = ("evicted", "idle", "leave_us", "opened_us", "proven", "stream", "task")
+    __slots__ = ("evicted", "heading", "idle", "leave_us", "opened_us", "proven", "stream", "task")
 
     def __init__(self, stream: Stream, now: int) -> None:
         self.stream = stream
         self.opened_us = now
         self.proven = False  # a request of it was sound
         self.idle = False  # waits for the first byte of a request
+        self.heading = False  # waits for the rest of a head
         self.evicted = False  # is to make room
         self.leave_us: int | None = None  # idle until then, it is closed: the node empties
         self.task: Task | None = None
@@ -115,6 +122,7 @@
         self.legs: dict[Leg, None] = {}
         self.desk: Desk | None = None  # where jobs may wait
         self.limiter: Limiter | None = None
+        self.heir: Heir | None = None
         self.life = life
         life.watch(self._changed)
         self._listener: Listener | None = None
@@ -149,13 +157,33 @@
                 if error.errno in NO_DESCRIPTOR:
                     return False
                 continue  # that connection ended in the backlog
-            sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            leg = Leg(Stream(self.loop, sock, h11.SERVER), self.loop.now_us())
-            self.legs[leg] = None
-            leg.task = self.loop.spawn(self._leg(leg))
+            self.adopt(sock, proven=False)
         return True
 
+    def adopt(self, sock: socket.socket, proven: bool, unread: bytes = b"") -> None:
+        """Take a connection, new or as another process had it, and own it from here on."""
+        sock.setblocking(False)
+        leg = Leg(Stream(self.loop, sock, h11.SERVER), self.loop.now_us())
+        leg.proven = proven
+        if unread:
+            leg.stream.h11.receive_data(unread)
+        self.legs[leg] = None
+        leg.task = self.loop.spawn(self._leg(leg))
+
+    def hand_over(self, heir: Heir) -> None:
+        """From here on each leg goes over to the heir once it stands between requests, or in a head."""
+        self.heir = heir
+        for leg in self.legs:
+            if leg.idle or leg.heading:
+                self.wake(leg)
+
+    def _give(self, heir: Heir, leg: Leg) -> None:
+        """The descriptor leaves this process; its leg ends here, and nobody closes the connection."""
+        sock = leg.stream.sock
+        self.loop.forget(sock.fileno())
+        heir.give(socket.socket(fileno=sock.detach()), leg.proven, leg.stream.h11.trailing_data[0])
+
     def _evict(self) -> None:
         """Make room: all legs that had time for a sound request and sent none, and where those are few, the
         ones that have been idle longest; the order of ``legs`` is that of their last use.
@@ -218,10 +246,18 @@
             return False
         until = (self.loop.now_us() if leg.proven else leg.opened_us) + READ_US
         try:
-            head, raw = yield from stream.head(until)
+            if self.heir is None:
+                leg.heading = True
+                head, raw = yield from stream.head(until)
+                leg.heading = False
+            else:
+                head, raw = None, b""
             if isinstance(head, h11.ConnectionClosed):
                 return False
             if head is None:
+                if self.heir is not None and not leg.evicted and self.loop.now_us() < until:
+                    self._give(self.heir, leg)
+                    return False
                 raise BadRequest(408, "the request did not come whole")
             if why := odd_framing(raw):
                 raise BadRequest(400, why)
@@ -243,7 +279,9 @@
         leg.idle = True
         leg.leave_us = None
         try:
-            while not (yield Wait(leg.stream.sock.fileno(), select.EPOLLIN, self._idle_until(leg, since))):
+            while self.heir is None and not (
+                yield Wait(leg.stream.sock.fileno(), select.EPOLLIN, self._idle_until(leg, since))
+            ):
                 late = leg.evicted or self.loop.now_us() >= self._idle_until(leg, since)
                 if late and not leg.stream.readable():
                     return False
@@ -380,7 +418,7 @@
     ) -> Coroutine[bool]:
         stream = leg.stream
         headers = [(b"Content-Length", b"%d" % len(body)), *(more or [])]
-        if close or self.life.leaving:
+        if close or (self.life.leaving and self.heir is None):
             headers.append((b"Connection", b"close"))
         events: list[Any] = [h11.Response(
             status_code=status, reason=HTTPStatus(status).phrase.encode(), headers=headers
--- a/rushsaddle/net/discovery.py
+++ b/rushsaddle/net/discovery.py
@@ -45,6 +45,11 @@
         self._hurry_until_us: int | None = None  # it was replaced just now and has not answered yet
         self._task: Task | None = None
 
+    @property
+    def following(self) -> bool:
+        """The list is as the service tells it."""
+        return self._following
+
     def start(self, known: Any) -> None:
         """What was known before this start is the first event."""
         self._tell(known, ListKind.SAVED)
--- a/rushsaddle/net/nexthop.py
+++ b/rushsaddle/net/nexthop.py
@@ -124,6 +124,7 @@
         self.on_sent = on_sent  # told of each branch that is written whole
         self.hops: dict[str, Hop] = {}
         self.open = 0
+        self.probing = True
 
     # ------------------------------------------------------------ the list
 
@@ -147,6 +148,12 @@
         while hop.idle:
             self._discard(hop.idle.pop())
 
+    def wind_up(self) -> None:
+        """The process ends: nobody will ask what probes find, and idle connections are another's to have."""
+        self.probing = False
+        for hop in self.hops.values():
+            self._close_idle(hop)
+
     def sweep(self) -> Coroutine[None]:
         """Close what has been idle too long or was closed, or written to, by the other side."""
         while True:
@@ -394,7 +401,7 @@
 
     def check(self, worker: str) -> None:
         hop = self.hops.get(worker)
-        connection = self._take(hop) if hop is not None else None
+        connection = self._take(hop) if hop is not None and self.probing else None
         if hop is None or connection is None:
             self.put(CheckResult(worker, Outcome.VOID))
             return
--- a/rushsaddle/node.py
+++ b/rushsaddle/node.py
@@ -10,13 +10,14 @@
 import sys
 from collections.abc import Callable
 from dataclasses import fields
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 from tansygw import Dispatcher
 
 from . import config
 from .core.decider import Decider
-from .core.lifecycle import Lifecycle
+from .core.lifecycle import Lifecycle, Phase
 from .core.log import Log
 from .core.loop import Clock, Coroutine, Loop, Wait
 from .core.names import Address
@@ -31,12 +32,14 @@
     from .operator.load import OperatorError, Source
     from .operator.records import Operator
     from .parts import Reader, Settled
+    from .takeover.service import Takeover
     from .waiting.service import Waiting
 
 Settle = Callable[[], "tuple[Operator, Source] | None"]
 
 SPARE = 40  # descriptors for the loop, the log, discovery, and sockets on their way out
-DRAIN_LOOK_US = 20_000
+LOOK_US = 20_000  # between looks at what is left, or not yet there
+LIST_US = 2_500_000  # a process that replaces another waits so long for a list that is not of old
 GC = (50_000, 20, 100)  # few cycles are made; collecting often costs more than it frees
 
 
@@ -104,6 +107,7 @@
         )
         self.deadline_us = max(c.deadline_us for c in settings.classes)
         self.told = told
+        self.takeover: Takeover | None = None
         self.waiting: Waiting | None = None
         if self.operator is not None and self.operator.waiting.enabled:
             from .parts import waiting_part
@@ -122,21 +126,53 @@
         fd = told.inherited_fd
         listen = listener.opened(told.listen) if fd is None else listener.inherited(fd)
         door = self._open_door(told.admin) if told.admin is not None else None
-        self.callers.listen(listen)
+        if fd is not None and os.environ.get("TMPDIR"):
+            self.takeover = self._meet(Path(os.environ["TMPDIR"]))
         self.discovery.start(told.known)
         self.decider.start()
         if self.waiting is not None:
             self.waiting.start()
         self.loop.spawn(self.hops.sweep())
         self.loop.spawn(self._heed(signals))
-        self.life.ready()
-        self.log.event("ready", listen=listen.name, door=door, next_hops=len(self.hops.hops))
+        if self.takeover is not None and self.takeover.reach():
+            self.loop.spawn(self._join(listen, door))
+        else:
+            self._serve(listen, door)
         self.loop.run()
         if self.waiting is not None:
             self.waiting.close()
         self.log.event("stopped", code=self.code)
         return self.code
 
+    def _serve(self, listen: listener.Listener, door: str | None) -> None:
+        """From here on callers are taken."""
+        self.callers.listen(listen)
+        self.life.ready()
+        if self.takeover is not None:
+            self.takeover.serving()
+        self.log.event("ready", listen=listen.name, door=door, next_hops=len(self.hops.hops))
+
+    def _join(self, listen: listener.Listener, door: str | None) -> Coroutine[None]:
+        """Another process serves still: there is time to hear which next hops there are."""
+        until = self.loop.now_us() + LIST_US
+        while self.loop.now_us() < until and not self.discovery.following:
+            yield Wait(until_us=self.loop.now_us() + LOOK_US)
+        if self.life.phase is Phase.STARTING:
+            self._serve(listen, door)
+
+    def _meet(self, folder: Path) -> Takeover:
+        from .takeover.service import Takeover
+
+        def held() -> int:
+            return SPARE + len(self.callers.legs) + self.hops.open
+
+        return Takeover(
+            self.loop, self.log, folder, self.callers, lambda: self.told.sockets, self._resize, held
+        )
+
+    def _resize(self, sockets: int) -> None:
+        self.hops.budget = self.callers.budget = _budget(sockets)
+
     def _open_door(self, address: Address) -> str:
         from .admin import figures
         from .admin.door import Door
@@ -173,7 +209,10 @@
             return
         old, self.told = self.told, told
         self.discovery.move(told.discovery)
-        self.hops.budget = self.callers.budget = _budget(told.sockets)
+        if self.takeover is not None:
+            self.takeover.fit()
+        else:
+            self._resize(told.sockets)
         if self.operator is not None:
             self._reload_operator()
         late = [f.name for f in fields(told) if getattr(told, f.name) != getattr(old, f.name)]
@@ -203,12 +242,20 @@
         self.log.event("draining", legs=len(self.callers.legs))
         if self.waiting is not None:
             self.waiting.drain()
+        if self.takeover is not None and self.takeover.heir is not None:
+            self.hops.wind_up()
+            yield from self.takeover.hand_over()
         yield from self.callers.stop()
+        self.hops.wind_up()
         until = self.loop.now_us() + self.deadline_us
-        while self.loop.now_us() < until and (self.callers.legs or self.decider.transactions):
-            yield Wait(until_us=self.loop.now_us() + DRAIN_LOOK_US)
+        while self.loop.now_us() < until and self._busy():
+            yield Wait(until_us=self.loop.now_us() + LOOK_US)
         self.loop.stopped = True
 
+    def _busy(self) -> bool:
+        handed = self.takeover is None or self.takeover.idle
+        return bool(self.callers.legs or self.decider.transactions or not handed)
+
 
 def serve(settle: Settle | None = None) -> int:
     """Serve until a signal to end; the exit code."""
--- /dev/null
+++ b/tests/takeover/test_replace.py
@@ -0,0 +1,191 @@
+"""The real program, started again and again on one inherited socket under steady requests."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import re
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections import Counter
+from collections.abc import Iterator
+from contextlib import suppress
+from pathlib import Path
+
+import pytest
+
+from measure.rig import PATIENCE, SETTINGS, Caller, Reply, Senders
+
+TIMES = 10
+READY = '"event":"ready"'
+
+
+class Site:
+    """One listening socket, held here, and the processes that have inherited it."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.senders = Senders(folder, count=4, slots=16)
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=256)
+        self.port = self.listener.getsockname()[1]
+        (folder / "tmp").mkdir()
+        (folder / "config.json").write_text(json.dumps({
+            "name": "n0", "listen": f"127.0.0.1:{self.port}", "seed": "1f", "limits": {"sockets": 256},
+            "discovery": self.senders.discovery, "settings": SETTINGS,
+            "known": {"rev": 0, "all": True, "targets": []},
+        }))
+        self.nodes: list[subprocess.Popen[bytes]] = []
+
+    def log(self, number: int) -> str:
+        return (self.folder / f"log-{number}").read_text()
+
+    def start(self, config: str = "config.json") -> int:
+        number = len(self.nodes)
+        fd = self.listener.fileno()
+        env = {k: v for k, v in os.environ.items() if not k.startswith(("GW_", "RUSHSADDLE_"))}
+        env |= {"GW_CONFIG": str(self.folder / config), "GW_INHERITED_FD": str(fd),
+                "GW_ADMIN_ADDR": "127.0.0.1:0", "TMPDIR": str(self.folder / "tmp")}
+        with open(self.folder / f"log-{number}", "wb") as log:
+            self.nodes.append(subprocess.Popen(
+                [sys.executable, "-m", "rushsaddle"], env=env, stdout=log, stderr=log, pass_fds=[fd]
+            ))
+        return number
+
+    def wait(self, number: int, said: str) -> None:
+        until = time.monotonic() + PATIENCE
+        while said not in self.log(number):
+            assert time.monotonic() < until and self.nodes[number].poll() is None, self.log(number)[-2000:]
+            time.sleep(0.01)
+
+    def begin(self) -> int:
+        number = self.start()
+        self.wait(number, READY)
+        return number
+
+    def call(self, number: int, call: bytes) -> bytes:
+        found = re.search(r'"door":"127.0.0.1:(\d+)"', self.log(number))
+        assert found is not None
+        with socket.create_connection(("127.0.0.1", int(found[1])), PATIENCE) as door:
+            door.sendall(call + b"\n")
+            return b"".join(iter(lambda: door.recv(65536), b""))
+
+    def stop(self) -> None:
+        for node in self.nodes:
+            with suppress(ProcessLookupError):
+                node.kill()
+            node.wait()
+        self.listener.close()
+
+
+@pytest.fixture
+def site(tmp_path: Path) -> Iterator[Site]:
+    site = Site(tmp_path)
+    try:
+        yield site
+    finally:
+        site.stop()
+        if site.senders.process.poll() is None:
+            site.senders.stop()
+
+
+async def _steady(site: Site, callers: int, over: asyncio.Event) -> list[Reply]:
+    """Each caller keeps its one connection, asks again and again, and pauses in between."""
+    replies: list[Reply] = []
+
+    async def one(number: int) -> None:
+        caller, count = Caller(site.port), 0
+        while not over.is_set():
+            count += 1
+            cls = "bulk-batch" if count % 5 == 0 else "single-text"
+            headers = {
+                "X-Request-ID": f"{number}-{count}", "X-Timeout": "5.0", "Idempotency-Key": f"k{count}",
+            }
+            replies.append(await caller.ask("POST", f"/{cls}", headers, b"text"))
+            await asyncio.sleep(0.02 * (number % 4))
+
+    await asyncio.gather(*(one(n) for n in range(callers)))
+    return replies
+
+
+def _under_load(site: Site, act: object) -> list[Reply]:
+    async def play() -> list[Reply]:
+        over = asyncio.Event()
+        load = asyncio.create_task(_steady(site, 12, over))
+        await asyncio.to_thread(act)  # type: ignore[arg-type]
+        over.set()
+        return await load
+
+    return asyncio.run(play())
+
+
+def _all_served(site: Site, replies: list[Reply]) -> None:
+    statuses = Counter(reply.status for reply in replies)
+    assert set(statuses) == {200}, statuses
+    assert all(reply.headers.get("connection") != "close" for reply in replies)
+    begun = Counter(id for _, id, _, _, what in site.senders.stop() if what == "taken")
+    assert len(begun) == len(replies)
+    batches = {id: n for id, n in begun.items() if int(id.split("-")[1]) % 5 == 0}
+    assert batches and max(batches.values()) == 1
+
+
+def test_ten_replacements_lose_no_job_and_run_no_batch_twice(site: Site) -> None:
+    """Connections go over with what is on them: no caller is ever told to leave, or closed on."""
+    first = site.begin()
+
+    def act() -> None:
+        old = first
+        for _ in range(TIMES):
+            new = site.begin()
+            assert site.call(new, b"STATUS") == b"ACK serving\n"
+            site.nodes[old].send_signal(signal.SIGTERM)
+            assert site.nodes[old].wait(PATIENCE) == 0
+            old = new
+
+    replies = _under_load(site, act)
+    _all_served(site, replies)
+
+
+def test_a_newer_process_that_fails_or_dies_leaves_the_older_one_serving(site: Site) -> None:
+    (site.folder / "bad.json").write_text("{")
+    (site.folder / "tmp" / "rushsaddle.sock").write_text("left by another version")
+    first = site.begin()
+
+    def dies() -> None:
+        bad = site.start("bad.json")
+        assert site.nodes[bad].wait(PATIENCE) == 2
+        assert site.log(bad).count("\n") == 1
+        late = site.begin()
+        site.nodes[late].kill()
+        site.nodes[late].wait()
+        site.wait(first, "newer process gone")
+        time.sleep(0.2)
+
+    replies = _under_load(site, dies)
+    assert site.call(first, b"STATUS") == b"ACK serving\n"
+    # what the killed process had taken is gone with it, all the rest is served
+    assert Counter(reply.status for reply in replies)[200] >= len(replies) - 12
+    assert {reply.status for reply in replies} <= {200, 0}
+
+
+@pytest.mark.parametrize(
+    ("fd", "said"),
+    [("x", "not the number of a descriptor"), ("-1", "not the number of a descriptor"),
+     ("999", "is not an open socket"), ("0", "is not an open socket")],
+)
+def test_a_descriptor_that_is_no_listener_ends_the_start_with_one_line(
+    tmp_path: Path, fd: str, said: str
+) -> None:
+    (tmp_path / "config.json").write_text(json.dumps({
+        "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1f", "settings": SETTINGS,
+    }))
+    env = {**os.environ, "GW_CONFIG": str(tmp_path / "config.json"), "GW_INHERITED_FD": fd}
+    done = subprocess.run(
+        [sys.executable, "-m", "rushsaddle"], env=env, stdin=subprocess.DEVNULL, capture_output=True,
+        text=True, timeout=PATIENCE,
+    )
+    assert (done.returncode, done.stderr.count("\n")) == (2, 1)
+    assert said in done.stderr
