Nobody is told to leave beside an heir; callers in use do not make room; list calls back off

Need: of 1,245 jobs over ten replacements one was told to leave; of 7,503 beside a crowd ten found their connection closed. Cause, seen in the measurement: an answer between the phase's change and the hand-over's first turn (node.py, _drain); an idle connection of a caller in use went as soon as few others were unproven (net/giveway.py), however short its pause. Also: after a move discovery was asked every 200 ms for 4 s by all nodes in step (net/discovery.py). Change: the caller legs know the heir before the end and act on the phase alone; an idle connection goes only after 0.2 s without a request; calls back off with full jitter from 0.2 to 1 s. `measure.operation` measures door and replacements. Ruled out: handing over learned figures.

--- /dev/null
+++ b/measure/operation.py
@@ -0,0 +1,198 @@
+"""Daily operation measured: the door while the node is full, replacements, and the journal's days.
+
+    python -m measure.operation door
+    python -m measure.operation replace --times 10
+    python -m measure.operation days --chart docs/measured/operation.png
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import signal
+import socket
+import time
+from collections import Counter, defaultdict
+from collections.abc import Callable
+from pathlib import Path
+from statistics import median
+from tempfile import TemporaryDirectory
+from typing import Any
+
+from .rig import PATIENCE, Caller, Reply
+from .site import Site
+
+JOURNAL = Path(__file__).parent.parent / "journal"
+DAYS = ("upgrade", "pieces+silent+leave", "drain+scrape", "drain", "scrape+crowd+leave", "crowd+term+scrape",
+        "upgrade+scrape", "herd")
+SOCKETS = 192
+HEAD = "| | count | least | median | 99 of 100 | most | |\n| --- | --- | --- | --- | --- | --- | --- |"
+CROWD = 600  # connections that say nothing, beside the load
+
+
+async def _load(port: int, callers: int, over: asyncio.Event) -> list[Reply]:
+    replies: list[Reply] = []
+
+    async def one(number: int) -> None:
+        caller, count = Caller(port), 0
+        while not over.is_set():
+            count += 1
+            name = f"{number}-{count}"
+            headers = {"X-Request-ID": name, "X-Timeout": "5.0", "Idempotency-Key": name}
+            replies.append(await caller.ask("POST", "/single-text", headers, b"text"))
+
+    await asyncio.gather(*(one(n) for n in range(callers)))
+    return replies
+
+
+def _under_load(site: Site, callers: int, act: Callable[[], None]) -> list[Reply]:
+    async def play() -> list[Reply]:
+        over = asyncio.Event()
+        load = asyncio.create_task(_load(site.port, callers, over))
+        await asyncio.to_thread(act)
+        over.set()
+        return await load
+
+    return asyncio.run(play())
+
+
+def _statuses(replies: list[Reply]) -> str:
+    return f"statuses {dict(Counter(reply.status for reply in replies))}"
+
+
+def _spread(what: str, values: list[float], unit: str) -> None:
+    values.sort()
+    late = values[min(len(values) - 1, int(len(values) * 0.99))]
+    shown = " | ".join(f"{value:.1f}" for value in (values[0], median(values), late, values[-1]))
+    print(f"| {what} | {len(values)} | {shown} | {unit} |")
+
+
+def door(seconds: float = 20.0) -> None:
+    """Calls while every leg is taken, a crowd says nothing, and callers ask as fast as they are served."""
+    with TemporaryDirectory() as folder:
+        site = Site(Path(folder), SOCKETS, SOCKETS)
+        crowd: list[socket.socket] = []
+        took: dict[str, list[float]] = defaultdict(list)
+
+        def act() -> None:
+            until = time.monotonic() + seconds
+            while time.monotonic() < until:
+                if len(crowd) < CROWD:
+                    for _ in range(20):
+                        sock = socket.socket()
+                        sock.setblocking(False)
+                        sock.connect_ex(("127.0.0.1", site.port))
+                        crowd.append(sock)
+                for call in ("STATUS", "METRICS"):
+                    began = time.monotonic()
+                    assert site.call(node, call.encode())
+                    took[call].append((time.monotonic() - began) * 1e3)
+                time.sleep(0.05)
+
+        try:
+            node = site.begin()
+            replies = _under_load(site, 60, act)
+        finally:
+            for sock in crowd:
+                sock.close()
+            site.stop()
+    print(f"{len(replies) / seconds:.0f} jobs a second, {_statuses(replies)}\n\n{HEAD}")
+    for call, values in took.items():
+        _spread(call, values, "ms")
+
+
+def _memory_mb(pid: int) -> float:
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmHWM"):
+            return int(line.split()[1]) / 1024
+    return 0.0
+
+
+def replace(times: int) -> None:
+    """One process after another on one socket under steady load: what callers see, time and memory."""
+    with TemporaryDirectory() as folder:
+        site = Site(Path(folder))
+        ready, ended, alone, both = [], [], [], []
+
+        def act() -> None:
+            old = site.begin()
+            for _ in range(times):
+                began = time.monotonic()
+                new = site.begin()
+                ready.append((time.monotonic() - began) * 1e3)
+                time.sleep(0.3)
+                alone.append(_memory_mb(site.nodes[new].pid))
+                both.append(alone[-1] + _memory_mb(site.nodes[old].pid))
+                began = time.monotonic()
+                site.nodes[old].send_signal(signal.SIGTERM)
+                assert site.nodes[old].wait(PATIENCE) == 0
+                ended.append((time.monotonic() - began) * 1e3)
+                old = new
+
+        try:
+            replies = _under_load(site, 24, act)
+        finally:
+            runs = site.senders.stop()
+            site.stop()
+    begun = Counter(id for _, id, _, _, what in runs if what == "taken")
+    closes = sum(reply.headers.get("connection") == "close" for reply in replies)
+    lost = len(replies) - len(begun)
+    print(f"{len(replies)} jobs, {_statuses(replies)}, told to leave {closes}, lost {lost}\n\n{HEAD}")
+    _spread("from start to serving", ready, "ms")
+    _spread("from SIGTERM to the end of the older one", ended, "ms")
+    _spread("peak memory of one process", alone, "MB")
+    _spread("... of both together", both, "MB")
+
+
+def days(chart: str | None) -> None:
+    """Every score of the days of daily operation in the journal, by day, oldest first."""
+    found: dict[str, list[tuple[str, float, int, str]]] = defaultdict(list)
+    for path in sorted(JOURNAL.glob("*.json")):
+        entry: dict[str, Any] = json.loads(path.read_text())
+        for day in entry.get("days") or ():
+            kind = str(day.get("name", "")).rsplit("-", 1)[0]
+            name = next((d for d in DAYS if d in (day.get("name"), kind)), None)
+            if name is not None:
+                bad = sum(day["rules"].values()) + bool(day["fault"])
+                found[name].append((str(day["seed"]), day["score"], bad, entry["why"]))
+    print("| day | seed | scores, oldest first | rules broken, faults |\n| --- | --- | --- | --- |")
+    for name in DAYS:
+        seeds: dict[str, list[tuple[float, int]]] = defaultdict(list)
+        for seed, score, bad, _ in found[name]:
+            seeds[seed].append((score, bad))
+        for seed, rows in seeds.items():
+            scores = ", ".join(f"{score:.2f}" for score, _ in rows)
+            print(f"| {name} | {seed} | {scores} | {', '.join(str(bad) for _, bad in rows)} |")
+    if chart is not None:
+        import matplotlib
+
+        matplotlib.use("Agg")
+        from matplotlib import pyplot
+
+        _, axes = pyplot.subplots(figsize=(9, 4))
+        for name in DAYS:
+            axes.plot([score for _, score, _, _ in found[name]], "o-", label=name)
+        axes.set_xlabel("plays in the journal, in order, all seeds")
+        axes.set_ylabel("score of the day")
+        axes.set_ylim(0, 1)
+        axes.legend(fontsize=7)
+        pyplot.savefig(chart, dpi=100, bbox_inches="tight")
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0] if __doc__ else None)
+    parser.add_argument("what", choices=("door", "replace", "days"))
+    parser.add_argument("--times", type=int, default=10)
+    parser.add_argument("--chart")
+    given = parser.parse_args()
+    if given.what == "door":
+        door()
+    elif given.what == "replace":
+        replace(given.times)
+    else:
+        days(given.chart)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/measure/site.py
@@ -0,0 +1,88 @@
+"""One listening socket held here, and processes of one node that inherit it, one after another."""
+
+from __future__ import annotations
+
+import json
+import os
+import re
+import resource
+import socket
+import subprocess
+import sys
+import time
+from contextlib import suppress
+from pathlib import Path
+
+from .rig import PATIENCE, SETTINGS, Senders
+
+READY = '"event":"ready"'
+
+
+class Site:
+    """``sockets``: what the configuration says; ``files``: what the system gives a process, 0: its usual."""
+
+    def __init__(self, folder: Path, sockets: int = 256, files: int = 0) -> None:
+        self.folder = folder
+        self.files = files
+        self.senders = Senders(folder, count=4, slots=16)
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=256)
+        self.port = self.listener.getsockname()[1]
+        (folder / "tmp").mkdir()
+        (folder / "config.json").write_text(json.dumps({
+            "name": "n0", "listen": f"127.0.0.1:{self.port}", "seed": "1f", "limits": {"sockets": sockets},
+            "discovery": self.senders.discovery, "settings": SETTINGS,
+            "known": {"rev": 0, "all": True, "targets": []},
+        }))
+        self.nodes: list[subprocess.Popen[bytes]] = []
+
+    def log(self, number: int) -> str:
+        return (self.folder / f"log-{number}").read_text()
+
+    def start(self, config: str = "config.json") -> int:
+        """One more process; its number."""
+        number = len(self.nodes)
+        fd = self.listener.fileno()
+        env = {k: v for k, v in os.environ.items() if not k.startswith(("GW_", "RUSHSADDLE_"))}
+        env |= {"GW_CONFIG": str(self.folder / config), "GW_INHERITED_FD": str(fd),
+                "GW_ADMIN_ADDR": "127.0.0.1:0", "TMPDIR": str(self.folder / "tmp")}
+        with open(self.folder / f"log-{number}", "wb") as log:
+            self.nodes.append(subprocess.Popen(
+                [sys.executable, "-m", "rushsaddle"], env=env, stdout=log, stderr=log, pass_fds=[fd]
+            ))
+        if self.files:
+            resource.prlimit(self.nodes[number].pid, resource.RLIMIT_NOFILE, (self.files, self.files))
+        return number
+
+    def wait(self, number: int, said: str) -> None:
+        until = time.monotonic() + PATIENCE
+        while said not in self.log(number):
+            if time.monotonic() > until or self.nodes[number].poll() is not None:
+                raise RuntimeError(f"not said: {said}: {self.log(number)[-2000:]}")
+            time.sleep(0.01)
+
+    def begin(self) -> int:
+        number = self.start()
+        self.wait(number, READY)
+        return number
+
+    def call(self, number: int, call: bytes) -> bytes:
+        """What the door of a process answers."""
+        found = re.search(r'"door":"127.0.0.1:(\d+)"', self.log(number))
+        assert found is not None
+        with socket.create_connection(("127.0.0.1", int(found[1])), PATIENCE) as door:
+            door.sendall(call + b"\n")
+            return b"".join(iter(lambda: door.recv(65536), b""))
+
+    def figures(self, number: int) -> dict[str, int]:
+        lines = self.call(number, b"METRICS").decode().splitlines()
+        assert lines.pop() == "--"
+        return {name: int(value.split("|")[0]) for name, value in (line.split(":") for line in lines)}
+
+    def stop(self) -> None:
+        for node in self.nodes:
+            with suppress(ProcessLookupError):
+                node.kill()
+            node.wait()
+        self.listener.close()
+        if self.senders.process.poll() is None:
+            self.senders.stop()
--- a/rushsaddle/net/caller.py
+++ b/rushsaddle/net/caller.py
@@ -94,13 +94,14 @@
 
 
 class Leg:
-    __slots__ = ("evicted", "heading", "idle", "leave_us", "opened_us", "proven", "stream", "task")
+    __slots__ = ("evicted", "heading", "idle", "idle_us", "leave_us", "opened_us", "proven", "stream", "task")
 
     def __init__(self, stream: Stream, now: int) -> None:
         self.stream = stream
         self.opened_us = now
         self.proven = False  # a request of it was sound
         self.idle = False  # waits for the first byte of a request
+        self.idle_us = 0  # since when, the last time
         self.heading = False  # waits for the rest of a head
         self.evicted = False  # is to make room
         self.leave_us: int | None = None  # idle until then, it is closed: the node empties
@@ -108,11 +109,11 @@
 
     @property
     def heard_us(self) -> int:
-        return self.stream.heard_us
+        return max(self.stream.heard_us, self.idle_us)
 
     @property
     def said(self) -> bool:
-        return self.stream.heard_us > self.opened_us
+        return self.stream.heard_us > self.opened_us  # which the stream, made before, cannot be by itself
 
 
 class Callers:
@@ -130,7 +131,7 @@
         self.legs: dict[Leg, None] = {}
         self.desk: Desk | None = None  # where jobs may wait
         self.limiter: Limiter | None = None
-        self.heir: Heir | None = None
+        self.heir: Heir | None = None  # serves beside us, and takes our legs once we end
         self.life = life
         life.watch(self._changed)
         self._listener: Listener | None = None
@@ -179,18 +180,21 @@
         self.legs[leg] = None
         leg.task = self.loop.spawn(self._leg(leg))
 
-    def hand_over(self, heir: Heir) -> None:
-        """From here on each leg goes over to the heir once it stands between requests, or in a head."""
+    def set_heir(self, heir: Heir | None) -> None:
         self.heir = heir
-        for leg in self.legs:
-            if leg.idle or leg.heading:
-                self.wake(leg)
+        self._changed()
 
-    def _give(self, heir: Heir, leg: Leg) -> None:
+    @property
+    def _handing(self) -> bool:
+        """Each leg goes over to the heir once it stands between requests, or in a head."""
+        return self.heir is not None and self.life.phase is Phase.ENDING
+
+    def _give(self, leg: Leg) -> None:
         """The descriptor leaves this process; its leg ends here, and nobody closes the connection."""
+        assert self.heir is not None
         sock = leg.stream.sock
         self.loop.forget(sock.fileno())
-        heir.give(socket.socket(fileno=sock.detach()), leg.proven, leg.stream.h11.trailing_data[0])
+        self.heir.give(socket.socket(fileno=sock.detach()), leg.proven, leg.stream.h11.trailing_data[0])
 
     def _evict(self) -> None:
         """Make room; the order of ``legs`` is that of their last use."""
@@ -215,7 +219,12 @@
         listener.close()
 
     def _changed(self) -> None:
-        """The phase is another: idle legs look when they are to go."""
+        """The phase or the heir is another: idle legs look when they are to go, and where."""
+        if self._handing:
+            for leg in self.legs:
+                if leg.idle or leg.heading:
+                    self.wake(leg)
+            return
         span = LEAVE_US.get(self.life.phase)
         idle = [leg for leg in self.legs if leg.idle]
         for n, leg in enumerate(idle):
@@ -247,17 +256,14 @@
             return False
         until = (self.loop.now_us() if leg.proven else leg.opened_us) + READ_US
         try:
-            if self.heir is None:
-                leg.heading = True
-                head, raw = yield from stream.head(until)
-                leg.heading = False
-            else:
-                head, raw = None, b""
+            leg.heading = True
+            head, raw = (None, b"") if self._handing else (yield from stream.head(until))
+            leg.heading = False
             if isinstance(head, h11.ConnectionClosed):
                 return False
             if head is None:
-                if self.heir is not None and not leg.evicted and self.loop.now_us() < until:
-                    self._give(self.heir, leg)
+                if self._handing and not leg.evicted and self.loop.now_us() < until:
+                    self._give(leg)
                     return False
                 raise BadRequest(408, "the request did not come whole")
             if why := odd_framing(raw):
@@ -276,11 +282,11 @@
 
     def _idle(self, leg: Leg) -> Coroutine[bool]:
         """Wait for the first byte of a request; False where the leg is to end without one."""
-        since = self.loop.now_us()
+        since = leg.idle_us = self.loop.now_us()
         leg.idle = True
         leg.leave_us = None
         try:
-            while self.heir is None and not (
+            while not self._handing and not (
                 yield Wait(leg.stream.sock.fileno(), select.EPOLLIN, self._idle_until(leg, since))
             ):
                 late = leg.evicted or self.loop.now_us() >= self._idle_until(leg, since)
@@ -419,7 +425,7 @@
     ) -> Coroutine[bool]:
         stream = leg.stream
         headers = [(b"Content-Length", b"%d" % len(body)), *(more or [])]
-        if close or (self.life.leaving and self.heir is None):
+        if close or (self.life.leaving and not self._handing):
             headers.append((b"Connection", b"close"))
         events: list[Any] = [h11.Response(
             status_code=status, reason=HTTPStatus(status).phrase.encode(), headers=headers
--- a/rushsaddle/net/discovery.py
+++ b/rushsaddle/net/discovery.py
@@ -21,14 +21,25 @@
 LIST_MOST = 4 * 1024 * 1024  # bytes of one list
 ANSWER_US = 5_000_000  # a call may wait its turn for so long
 MOVE_US = 4_000_000  # a service that is new must be heard within this: it is asked again by itself until then
-AGAIN_US = 200_000  # ... after so long
+AGAIN_US = (200_000, 1_000_000)  # ... after at most so long at first, doubled each time up to the second
+AGAIN_LEAST_US = 50_000  # ... and never sooner
 SILENCE_US = 3_500_000  # an empty line comes every 2 s: a watch this silent is dead
 
 
+def again_us(failed: int, draw: float) -> int:
+    """How long to wait after so many calls in a row that failed; ``draw`` is from 0 to 1.
+
+    All nodes are told of the move at once: those that fail together must not come back together, and less
+    often each time, for a call that waits too long has cost the service its turn all the same.
+    """
+    most = min(AGAIN_US[0] << min(failed - 1, 8), AGAIN_US[1])
+    return AGAIN_LEAST_US + int(draw * (most - AGAIN_LEAST_US))
+
+
 class Discovery:
     def __init__(
         self, loop: Loop, log: Log, put: Callable[[Event], None], hops: NextHops, names: Names,
-        address: Address, connect_timeout_us: int,
+        address: Address, connect_timeout_us: int, draw: Callable[[], float],
     ) -> None:
         self.loop = loop
         self.log = log
@@ -37,7 +48,9 @@
         self.names = names
         self.address = address
         self.connect_timeout_us = connect_timeout_us
+        self.draw = draw  # from 0 to 1, each node its own
         self.version = 0
+        self._failed = 0  # calls since the service was replaced
         self._owed = 0  # calls without an answer
         self._following = False  # the open watch has told its first list
         self._moves = 0  # how often the service was replaced
@@ -67,6 +80,7 @@
         if address != self.address:
             self.address = address
             self._moves += 1
+            self._failed = 0
             self._new = True
             self._hurry_until_us = self.loop.now_us() + MOVE_US
             self._wake()
@@ -84,8 +98,10 @@
             except Exception as error:
                 self.log.error("discovery failed", error)
                 if self._hurry_until_us is not None:
-                    if self.loop.now_us() + AGAIN_US < self._hurry_until_us:
-                        yield Wait(until_us=self.loop.now_us() + AGAIN_US)
+                    self._failed += 1
+                    again = self.loop.now_us() + again_us(self._failed, self.draw())
+                    if again < self._hurry_until_us:
+                        yield Wait(until_us=again)
                         continue
                     self._hurry_until_us = None
                 # Each call is answered by one event; the end of an answered watch is told, too.
--- a/rushsaddle/net/giveway.py
+++ b/rushsaddle/net/giveway.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable
 from typing import Protocol, TypeVar
 
-SHY_US = 200_000  # who has said nothing for so long gives way
+SHY_US = 200_000  # who has said nothing, or asked nothing more, for so long gives way
 STOPPED_US = 600_000  # ... and who has begun a request, and sent no more of it: slow lines pause for less
 SHY_MOST = 8  # of these at a time
 LEAST = 4  # where there are fewer of them, others go, too, up to so many
@@ -27,7 +27,7 @@
     def said(self) -> bool: ...  # it has sent something
 
     @property
-    def heard_us(self) -> int: ...  # when its last byte came, or it connected
+    def heard_us(self) -> int: ...  # when its last byte came, or it connected, or had its last answer
 
 
 L = TypeVar("L", bound=Connected)
@@ -39,7 +39,7 @@
     for leg in legs:
         if not leg.proven:
             unproven.append(leg)
-        elif leg.idle:
+        elif leg.idle and leg.heard_us <= now - SHY_US:  # its next request may be on the way
             idle.append(leg)
     unproven.sort(key=lambda leg: leg.heard_us)
     silent = [leg for leg in unproven if leg.heard_us <= now - SHY_US]
--- a/rushsaddle/node.py
+++ b/rushsaddle/node.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from dataclasses import fields
 from pathlib import Path
+from random import Random
 from typing import TYPE_CHECKING
 
 from tansygw import Dispatcher
@@ -97,7 +98,8 @@
         )
         self.decider.hops = self.hops
         self.discovery = Discovery(
-            self.loop, self.log, self.decider.put, self.hops, told.names, told.discovery, connect_us
+            self.loop, self.log, self.decider.put, self.hops, told.names, told.discovery, connect_us,
+            Random(told.seed).random,
         )
         self.decider.subscribe = self.discovery.subscribe
         classes = {c.name: Class(n, c.deadline_us) for n, c in enumerate(settings.classes)}
@@ -244,7 +246,7 @@
             self.waiting.drain()
         if self.takeover is not None and self.takeover.heir is not None:
             self.hops.wind_up()
-            yield from self.takeover.hand_over()
+            self.takeover.ending()
         yield from self.callers.stop()
         self.hops.wind_up()
         until = self.loop.now_us() + self.deadline_us
--- a/rushsaddle/takeover/service.py
+++ b/rushsaddle/takeover/service.py
@@ -126,6 +126,7 @@
                     os.close(fd)
                 if isinstance(note, Ready):
                     self.heir = newer
+                    self.callers.set_heir(newer)
                     self.log.event("newer process serves")
         except BadNote as error:
             self.log.error("newer process", error)
@@ -133,7 +134,8 @@
             del self._newer[newer]
             newer.close()
             if self.heir is newer:
-                self.heir = self.callers.heir = None
+                self.heir = None
+                self.callers.set_heir(None)
             self.fit()
             self.log.event("newer process gone")
 
@@ -142,13 +144,10 @@
         sock, note = leg
         self.callers.adopt(sock, note.proven, note.unread)
 
-    def hand_over(self) -> Coroutine[None]:
-        """We were told to end: the heir, where there is one, gets what is idle, now and later."""
-        heir = self.heir
-        if heir is not None:
-            self.callers.hand_over(heir)
-            yield Wait(until_us=self.loop.now_us())  # the legs have their turn: what stays is what we hold
-            heir.tell(Ending(self.held()))
+    def ending(self) -> None:
+        """We were told to end: what the heir has not been given by now is what we hold."""
+        if self.heir is not None:
+            self.heir.tell(Ending(self.held()))
 
     @property
     def idle(self) -> bool:
--- a/tests/takeover/test_replace.py
+++ b/tests/takeover/test_replace.py
@@ -5,80 +5,21 @@
 import asyncio
 import json
 import os
-import re
 import signal
 import socket
 import subprocess
 import sys
 import time
 from collections import Counter
-from collections.abc import Iterator
-from contextlib import suppress
+from collections.abc import Callable, Iterator
 from pathlib import Path
 
 import pytest
 
-from measure.rig import PATIENCE, SETTINGS, Caller, Reply, Senders
+from measure.rig import PATIENCE, SETTINGS, Caller, Reply
+from measure.site import READY, Site
 
 TIMES = 10
-READY = '"event":"ready"'
-
-
-class Site:
-    """One listening socket, held here, and the processes that have inherited it."""
-
-    def __init__(self, folder: Path) -> None:
-        self.folder = folder
-        self.senders = Senders(folder, count=4, slots=16)
-        self.listener = socket.create_server(("127.0.0.1", 0), backlog=256)
-        self.port = self.listener.getsockname()[1]
-        (folder / "tmp").mkdir()
-        (folder / "config.json").write_text(json.dumps({
-            "name": "n0", "listen": f"127.0.0.1:{self.port}", "seed": "1f", "limits": {"sockets": 256},
-            "discovery": self.senders.discovery, "settings": SETTINGS,
-            "known": {"rev": 0, "all": True, "targets": []},
-        }))
-        self.nodes: list[subprocess.Popen[bytes]] = []
-
-    def log(self, number: int) -> str:
-        return (self.folder / f"log-{number}").read_text()
-
-    def start(self, config: str = "config.json") -> int:
-        number = len(self.nodes)
-        fd = self.listener.fileno()
-        env = {k: v for k, v in os.environ.items() if not k.startswith(("GW_", "RUSHSADDLE_"))}
-        env |= {"GW_CONFIG": str(self.folder / config), "GW_INHERITED_FD": str(fd),
-                "GW_ADMIN_ADDR": "127.0.0.1:0", "TMPDIR": str(self.folder / "tmp")}
-        with open(self.folder / f"log-{number}", "wb") as log:
-            self.nodes.append(subprocess.Popen(
-                [sys.executable, "-m", "rushsaddle"], env=env, stdout=log, stderr=log, pass_fds=[fd]
-            ))
-        return number
-
-    def wait(self, number: int, said: str) -> None:
-        until = time.monotonic() + PATIENCE
-        while said not in self.log(number):
-            assert time.monotonic() < until and self.nodes[number].poll() is None, self.log(number)[-2000:]
-            time.sleep(0.01)
-
-    def begin(self) -> int:
-        number = self.start()
-        self.wait(number, READY)
-        return number
-
-    def call(self, number: int, call: bytes) -> bytes:
-        found = re.search(r'"door":"127.0.0.1:(\d+)"', self.log(number))
-        assert found is not None
-        with socket.create_connection(("127.0.0.1", int(found[1])), PATIENCE) as door:
-            door.sendall(call + b"\n")
-            return b"".join(iter(lambda: door.recv(65536), b""))
-
-    def stop(self) -> None:
-        for node in self.nodes:
-            with suppress(ProcessLookupError):
-                node.kill()
-            node.wait()
-        self.listener.close()
 
 
 @pytest.fixture
@@ -88,8 +29,6 @@
         yield site
     finally:
         site.stop()
-        if site.senders.process.poll() is None:
-            site.senders.stop()
 
 
 async def _steady(site: Site, callers: int, over: asyncio.Event) -> list[Reply]:
@@ -111,11 +50,11 @@
     return replies
 
 
-def _under_load(site: Site, act: object) -> list[Reply]:
+def _under_load(site: Site, act: Callable[[], None]) -> list[Reply]:
     async def play() -> list[Reply]:
         over = asyncio.Event()
         load = asyncio.create_task(_steady(site, 12, over))
-        await asyncio.to_thread(act)  # type: ignore[arg-type]
+        await asyncio.to_thread(act)
         over.set()
         return await load
 
@@ -151,6 +90,10 @@
 
 def test_a_newer_process_that_fails_or_dies_leaves_the_older_one_serving(site: Site) -> None:
     (site.folder / "bad.json").write_text("{")
+    mute = socket.create_server(("127.0.0.1", 0))  # a discovery that never answers
+    told = json.loads((site.folder / "config.json").read_text())
+    told["discovery"] = f"127.0.0.1:{mute.getsockname()[1]}"
+    (site.folder / "mute.json").write_text(json.dumps(told))
     (site.folder / "tmp" / "rushsaddle.sock").write_text("left by another version")
     first = site.begin()
 
@@ -158,13 +101,22 @@
         bad = site.start("bad.json")
         assert site.nodes[bad].wait(PATIENCE) == 2
         assert site.log(bad).count("\n") == 1
+        early = site.start("mute.json")  # it waits for its list
+        site.wait(early, '"older process"')
+        assert READY not in site.log(early)
+        site.nodes[early].kill()
+        site.nodes[early].wait()
+        site.wait(first, "newer process gone")
         late = site.begin()
         site.nodes[late].kill()
         site.nodes[late].wait()
-        site.wait(first, "newer process gone")
+        site.wait(first, '"newer process serves"')
+        while site.log(first).count("newer process gone") < 2:
+            time.sleep(0.01)
         time.sleep(0.2)
 
     replies = _under_load(site, dies)
+    mute.close()
     assert site.call(first, b"STATUS") == b"ACK serving\n"
     # what the killed process had taken is gone with it, all the rest is served
     assert Counter(reply.status for reply in replies)[200] >= len(replies) - 12
--- /dev/null
+++ b/tests/test_daily.py
@@ -0,0 +1,122 @@
+"""The real program in daily operation: requests in pieces, a crowd, a node emptied under load."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from collections import Counter
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from measure.rig import PATIENCE, Caller
+from measure.site import Site
+
+REQUEST = (
+    b"POST /single-text HTTP/1.1\r\nHost: n0\r\nX-Request-ID: cut-%03d\r\nX-Timeout: 5.0\r\n"
+    b"Idempotency-Key: k%03d\r\nContent-Length: 4\r\n\r\ntext"
+)
+
+
+@pytest.fixture
+def site(tmp_path: Path) -> Iterator[Site]:
+    site = Site(tmp_path)
+    try:
+        yield site
+    finally:
+        site.stop()
+
+
+async def _cut(port: int, number: int, at: int) -> bytes:
+    """The answer to a request whose bytes come in two pieces."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    request = REQUEST % (number, number)
+    writer.write(request[:at])
+    await writer.drain()
+    await asyncio.sleep(0.02)
+    writer.write(request[at:])
+    head = await reader.readuntil(b"\r\n\r\n")
+    writer.close()
+    return head.split(b"\r\n")[0]
+
+
+def test_a_request_cut_at_any_byte_is_served(site: Site) -> None:
+    node = site.begin()
+    length = len(REQUEST % (0, 0))
+
+    async def play() -> list[bytes]:
+        found: list[bytes] = []
+        for first in range(1, length, 20):
+            cuts = range(first, min(first + 20, length))
+            found += await asyncio.gather(*(_cut(site.port, at, at) for at in cuts))
+        return found
+
+    assert Counter(asyncio.run(play())) == {b"HTTP/1.1 200 OK": length - 1}
+    figures = site.figures(node)
+    assert figures["node.transactions.single-text.answered"] == length - 1
+    assert figures["node.current"] == 0 and figures["node.sends"] >= length - 1
+    assert figures["node.cluster_size"] == 4 and figures["node.cluster_unhealthy"] == 0
+
+
+def test_the_door_answers_while_a_crowd_holds_every_descriptor_there_is(tmp_path: Path) -> None:
+    site = Site(tmp_path, sockets=64, files=64)
+    crowd: list[socket.socket] = []
+    try:
+        node = site.begin()
+        for n in range(200):
+            sock = socket.socket()
+            sock.setblocking(False)
+            sock.connect_ex(("127.0.0.1", site.port))
+            crowd.append(sock)
+            if n % 40 == 0:
+                assert site.call(node, b"STATUS") == b"ACK serving\n"
+        # callers of the door that finish no call do not shut it, either: the oldest makes room
+        port = int(site.log(node).split('"door":"127.0.0.1:')[1].split('"')[0])
+        for _ in range(40):
+            mute = socket.create_connection(("127.0.0.1", port), PATIENCE)
+            mute.sendall(b"STA")
+            crowd.append(mute)
+        assert site.call(node, b"STATUS") == b"ACK serving\n"
+        assert site.figures(node)["node.current"] == 0
+    finally:
+        for sock in crowd:
+            sock.close()
+        site.stop()
+
+
+def test_a_paused_node_empties_under_load_and_comes_back(site: Site) -> None:
+    node = site.begin()
+
+    async def play() -> Counter[int]:
+        """Callers that ask on kept connections: told to leave, they connect anew."""
+        statuses: Counter[int] = Counter()
+        over = asyncio.Event()
+
+        async def one(number: int) -> None:
+            caller, count = Caller(site.port), 0
+            while not over.is_set():
+                count += 1
+                name = f"p{number}-{count}"
+                headers = {"X-Request-ID": name, "X-Timeout": "5.0", "Idempotency-Key": name}
+                reply = await caller.ask("POST", "/single-text", headers)
+                statuses[reply.status] += 1
+                await asyncio.sleep(0.01)
+
+        load = [asyncio.create_task(one(n)) for n in range(6)]
+        for call, phase in ((b"PAUSE", b"paused"), (b"RESUME", b"serving"), (b"PAUSE", b"paused")):
+            await asyncio.sleep(0.3)
+            assert await asyncio.to_thread(site.call, node, call) == b"ACK %s\n" % phase
+        over.set()
+        await asyncio.gather(*load)
+        return statuses
+
+    statuses = asyncio.run(play())
+    assert set(statuses) == {200}, statuses
+    until = time.monotonic() + PATIENCE
+    while site.figures(node)["node.current"]:
+        assert time.monotonic() < until
+    answered = site.figures(node)["node.transactions.single-text.answered"]
+    assert answered == statuses[200]
+    assert site.call(node, b"RESUME") == b"ACK serving\n"
--- a/tests/test_giveway.py
+++ b/tests/test_giveway.py
@@ -25,7 +25,7 @@
     slow = Leg(NOW - STOPPED_US + 1, said=True, idle=False)
     mute = [Leg(NOW - SHY_US - n) for n in range(25)]
     stopped = [Leg(NOW - STOPPED_US - n, said=True, idle=False) for n in range(25)]
-    stayed = [Leg(NOW - n, said=True, proven=True) for n in range(25)]
+    stayed = [Leg(NOW - SHY_US - n, said=True, proven=True) for n in range(25)]
     legs = [slow, *mute, *stopped, *stayed]
     while len(legs) > 1:
         chosen = choose(legs, NOW, 76)
@@ -39,6 +39,12 @@
     assert choose([*usual, *crowd], NOW, 76) == []
 
 
+def test_a_usual_caller_whose_next_request_may_be_on_the_way_stays() -> None:
+    usual = [Leg(NOW - SHY_US + 1 + n, said=True, proven=True) for n in range(76)]
+    stayed = Leg(NOW - SHY_US, said=True, proven=True)
+    assert choose([*usual, stayed], NOW, 76) == [stayed]
+
+
 made = st.builds(Leg, st.integers(NOW - 3_000_000, NOW), st.booleans(), st.booleans(), st.booleans())
 
 
@@ -49,7 +55,7 @@
     few = sum(not leg.proven for leg in legs) <= budget // 4
     for leg in chosen:
         if leg.proven:
-            assert leg.idle and few
+            assert leg.idle and few and leg.heard_us <= NOW - SHY_US
         else:
             assert leg.heard_us <= NOW - SHY_US
             assert not leg.said or leg.heard_us <= NOW - STOPPED_US or not few
