--- /dev/null
+++ b/tests/takeover/test_notes.py
@@ -0,0 +1,67 @@
+"""Notes between two processes: what is written is read again, what is not ours does nothing."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from rushsaddle.takeover.notes import (
+    BadNote,
+    Ending,
+    Hello,
+    Moved,
+    Note,
+    Ready,
+    Unknown,
+    read,
+    share,
+    written,
+)
+
+counts = st.integers(0, 2**31)
+notes: st.SearchStrategy[Note] = st.one_of(
+    st.builds(Hello, counts), st.builds(Ending, counts), st.just(Ready()),
+    st.builds(Moved, st.booleans(), st.binary(max_size=300)),
+)
+
+
+@given(notes)
+def test_a_note_is_read_as_it_was_written_and_not_when_it_is_cut(note: Note) -> None:
+    data = written(note)
+    assert read(data) == note
+    head = data.index(b"\n")
+    for cut in range(head + 1):
+        with pytest.raises(BadNote):
+            read(data[:cut])
+
+
+@given(st.binary(max_size=200))
+def test_whatever_comes_is_a_note_or_a_reason(data: bytes) -> None:
+    try:
+        read(data)
+    except BadNote as bad:
+        assert str(bad)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [b"[]\n", b"null\n", b'{"note":"hello"}\n', b'{"note":"hello","held":-1}\n',
+     b'{"note":"ending","held":true}\n'],
+)
+def test_notes_that_make_no_sense(data: bytes) -> None:
+    with pytest.raises(BadNote):
+        read(data)
+
+
+def test_a_note_of_a_later_version_is_passed_over() -> None:
+    assert read(b'{"note":"later","held":"many"}\n') == Unknown()
+
+
+@given(st.integers(64, 4096), st.integers(0, 4096))
+def test_two_processes_never_share_out_more_than_there_is(sockets: int, held: int) -> None:
+    assert share(sockets, beside=False, held=None) == sockets
+    beside = share(sockets, beside=True, held=None)
+    assert 2 * beside <= sockets
+    heir = share(sockets, beside=True, held=held)
+    assert heir + min(held, beside) <= sockets and heir >= beside
