Dispatchers tell each other the slots they have taken; wide jobs get workers of their own

Change: tansygw/peers.py, a codec and table of own slots by worker, 256 bytes at most, paced by its price, off where barred; some workers, the same at all nodes, left to wide jobs; held jobs ranked by their chance to be in time and refused at once when it is under one in ten; few own jobs wait at workers; T_j by kind; sizes of jobs counted apart.

--- a/tansygw/benchlink.py
+++ b/tansygw/benchlink.py
@@ -127,6 +127,7 @@
     i.Check: lambda who, a: {"Sample": {"Who": who, "Runner": a.worker}},
     i.SetTimer: lambda who, a: {"WakeAt": {"Who": who, "AfterUs": a.after_us, "Ctx": a.token}},
     i.Subscribe: lambda who, a: {"Subscribe": {"Who": who, "On": True}},
+    i.Tell: lambda who, a: {"Say": {"Who": who, "NeighbourId": None, "Blob": a.data}},
     i.Log: lambda who, a: {"Log": {"Who": who, "Words": a.text}},
 }
 
--- a/tansygw/decide.py
+++ b/tansygw/decide.py
@@ -14,7 +14,7 @@
 import heapq
 from collections import deque
 from collections.abc import Callable, Sequence
-from math import exp, inf, isfinite, log
+from math import ceil, erfc, exp, inf, isfinite, log, sqrt
 from random import Random
 from typing import Any
 
@@ -45,11 +45,13 @@
     Settings,
     StreamStarted,
     Subscribe,
+    Tell,
     TimerFired,
     WorkerEntry,
     WorkerList,
     WorkerState,
 )
+from .peers import Peers, encode, key_of
 
 # ---- named constants, all without dimension; times come from the settings or from what is observed
 
@@ -84,6 +86,20 @@
 PACE_PRIOR = 5.0  # run times spread widely: so many of them weigh as much as what was believed before
 PACE_KEEP = 0.9  # a worker's pace is that of about its last ten jobs: slowness comes and goes
 
+SIZES_MOST = 16  # sizes of jobs that are told apart
+WIDE_STEP = 0.005  # weight of the newest arrival in the mean of wide jobs, which are few
+KEPT = 1.4  # workers left to wide jobs, by those that wide jobs keep busy
+KEPT_LEFT = 0.0  # of their room, this share counts for narrow jobs
+
+PEER_COST = 0.005  # points of the result that words between dispatchers may cost
+PEER_QUIET = 2.0  # times a job takes: so long after its last word a dispatcher speaks though nothing changed
+PEER_KEEP = 8.0  # ... and so long after it nobody counts on it any more
+PAYS = 0.5  # of the mean worth for time: a job worth less for its time gets no second copy
+WAITS = 1.5  # jobs that wait at a worker, from all dispatchers together
+SPREAD = 1.0  # variance of the logarithm of run times before any were seen: they spread widely
+SPREAD_LEAST = 0.04
+GIVE_UP = 0.1  # a held request that would be late with all but this chance is given up
+
 SLOTS_MOST = 10_000.0  # no machine has more slots: such a figure would stand as T_j and open a cold budget
 SECOND = 1_000_000  # microseconds
 NEVER_RAN = frozenset((Outcome.OVERLOADED, Outcome.UNREACHABLE, Outcome.VOID, Outcome.REJECTED))
@@ -130,8 +146,8 @@
 class Request:
     """One request, its attempts, and what may legally be sent or answered for it."""
 
-    __slots__ = ("arrived", "attempts", "cls", "deadline", "earlier", "expected_us", "id", "info", "live",
-                 "memory", "out", "slots", "streaming", "terms", "worth")
+    __slots__ = ("age", "arrived", "attempts", "cls", "deadline", "earlier", "expected_us", "id", "info",
+                 "live", "memory", "out", "slots", "streaming", "terms", "worth")
 
     def __init__(self, event: RequestArrived, info: RequestClass, now: int) -> None:
         self.id = event.request
@@ -139,6 +155,7 @@
         self.info = info
         self.expected_us = event.expected_us
         self.arrived = now
+        self.age = 0  # how long the client had waited before this try
         self.deadline = now + event.time_left_us
         self.slots = _number(event.slots) or 1.0
         self.memory = _number(event.memory) or 0.0
@@ -208,13 +225,16 @@
     """What this dispatcher knows of one worker."""
 
     __slots__ = ("asked", "blocked", "cell", "cold_credit", "cold_from", "cold_paid", "delta", "down",
-                 "errors", "faults", "figures", "free", "heard", "kind", "listed", "live", "lost_at",
-                 "memory", "moves", "name", "out", "pace", "past", "proofs", "ready", "retry_at", "risk_at",
-                 "seats", "seen", "started_us", "strikes", "total", "trial", "waiting", "well_at", "zone")
+                 "errors", "faults", "figures", "free", "heard", "hint", "key", "kind", "listed", "live",
+                 "lost_at", "memory", "moves", "name", "out", "pace", "past", "proofs", "ready", "retry_at",
+                 "risk_at", "seats", "seen", "started_us", "strikes", "total", "trial", "waiting", "well_at",
+                 "zone")
 
     def __init__(self, name: str) -> None:
         self.name = name
+        self.key = key_of(name)
         self.zone = self.kind = self.cell = 0
+        self.hint = 1.0
         self.ready = False
         self.listed = False  # discovery names it, ready or not
         self.live = True
@@ -338,8 +358,11 @@
         self.busy_us = float(sum(aims)) / len(aims)  # how long own jobs take
         self.class_us = [float(c.aim_us) for c in settings.classes]  # the same by class
         self.bound = [n for n, c in enumerate(settings.classes) if c.kind >= 0]  # classes bound to one kind
+        self.class_left = [0] * len(aims)  # the longest time that a client of the class was seen to wait
+        self.class_var = [SPREAD] * len(aims)  # variance of the logarithm of run times by class
         self.class_log: list[float | None] = [None] * len(aims)  # logarithm of the run times by class
         self.kind_pace: dict[int, Pace] = {}
+        self.kind_slots: dict[tuple[int, float], float] = {}  # the largest T_j by kind and registered size
         self.shares = [1.0 / len(aims)] * len(aims)  # of arrivals, by class
         self.part = 1.0 / settings.group_size  # of the work in the fleet that is ours
         self.queue_told = bool({"inflight", "queue"} & set(settings.report_fields))
@@ -349,6 +372,13 @@
         self.next_pass = 0  # when the held requests are looked through next, at the soonest
         self.changed = False  # something happened that may let a held request go
         self.start_us = float(settings.tick_us)  # delay of a start note where nothing waits
+        self.peers = Peers(settings.group_size, settings.rank)
+        self.told: dict[int, tuple[int, int]] = {}
+        self.told_at = self.tell_next = 0
+        self.own_waits = 0  # own attempts without a start note
+        self.size_us: dict[int, float] = {}  # slot time for each arrival, by the slots of the job
+        self.wide_us = 0.0  # ... of those that take over half of a worker
+        self.kept: frozenset[str] = frozenset()  # workers that narrow jobs leave to the wide ones
         self.gap_us = self.busy_us  # between arrivals; a low guess would check as if a crowd of them came
         self.arrivals = self.last_arrival = 0
         self.copies = COPY_BURST  # second tries in hand
@@ -380,6 +410,8 @@
                 act(what)
         if self.held and self.changed and now_us >= self.next_pass:
             self._place_held()
+        if self.settings.limits.peer_messages and self.settings.group_size > 1 and now_us >= self.tell_next:
+            self._tell_peers()
         while due and not due[0][3].live:
             heapq.heappop(due)
         if due and (self.wake is None or self.wake <= now_us or due[0][0] < self.wake):
@@ -395,8 +427,34 @@
         if self.wake is not None and self.wake <= self.now:
             self.wake = None
 
+    # ------------------------------------------------------------ what dispatchers tell each other
+
     def _on_peer(self, event: PeerMessage) -> None:
-        """Peers are not listened to."""
+        self.peers.forget(self.now - int(PEER_KEEP * self.busy_us))
+        if self.settings.limits.peer_messages and self.peers.hear(self.now, event.sender, event.data):
+            self.changed = True
+
+    def _tell_peers(self) -> None:
+        """Say what we have out at each worker, as often as the price allows."""
+        settings = self.settings
+        loads = {}
+        for w in self.workers.values():
+            if w.out > 0.0:
+                waiting = sum(a.request.slots for a in w.waiting)
+                loads[w.key] = ceil(w.out), min(ceil(waiting), ceil(w.out))
+        if loads == self.told and self.now < self.told_at + PEER_QUIET * self.busy_us:
+            return
+        others = settings.group_size - 1
+        words = encode(self.now, self.wide_us / self.gap_us, loads)
+        size = sum(map(len, words)) * others / 256
+        apart = size * settings.prices.peer / PEER_COST * self.gap_us
+        self.tell_next = self.now + int(max(settings.tick_us, apart))
+        self.told, self.told_at = loads, self.now
+        self.actions.extend(Tell(word) for word in words)
+        self._at(max(self.tell_next, self.now + PEER_QUIET * self.busy_us), self._noop, self)
+
+    def _noop(self, _: object) -> None:
+        """Only the step is wanted."""
 
     def _log(self, text: str) -> None:
         if self.logged < 40:
@@ -465,6 +523,7 @@
                 spread = max(self.settings.tick_us * 4, self.settings.group_size * CHECK_APART)
                 self._at(self.now + self.random.random() * spread, self._check, worker)
         worker.zone, worker.kind, worker.cell = entry.zone, entry.kind, entry.cell
+        worker.hint = entry.capacity_hint if self.settings.hint_meaning == "nominal" else 1.0
         worker.ready = entry.state is WorkerState.READY
         worker.listed = entry.state is not WorkerState.GONE
         if entry.started_us > worker.started_us:
@@ -482,6 +541,13 @@
             return
         seen = worker.seen
         new = worker.learn(report, self.now, self.spacing)
+        if new and worker.total > self.kind_slots.get((worker.kind, worker.hint), 0.0):
+            self.kind_slots[worker.kind, worker.hint] = worker.total
+            for w in self.workers.values():
+                if w.kind == worker.kind and w.hint == worker.hint and w.total:
+                    w.total = max(w.total, worker.total)
+        elif worker.total:
+            worker.total = max(worker.total, self.kind_slots.get((worker.kind, worker.hint), 0.0))
         self.changed = self.changed or new
         if seen is not None:
             # A figure that has changed shows a spacing of at most its age, one that has not at least that.
@@ -594,6 +660,10 @@
 
     def _may_wait(self, worker: Worker) -> bool:
         """One more own job may wait there: none does, and it has not just turned one away."""
+        if self.settings.tells_start and self.own_waits >= max(1.0, WAITS * self.part * len(self.ready)):
+            return False
+        if self.peers.sums.get(worker.key, (0, 0))[1] > 0:
+            return False
         return self._own_waiting(worker) <= 0.0 and self.now >= worker.blocked
 
     def _pace(self, attempt: Attempt, run_us: float) -> None:
@@ -601,15 +671,21 @@
         if attempt.paced or not attempt.started or run_us <= 0:
             return
         attempt.paced = True
-        cls, worker, run = attempt.request.cls, attempt.worker, log(run_us)
-        usual = self.class_log[cls]
-        if usual is None:
-            self.class_log[cls] = usual = run
-        self.class_log[cls] = usual + SPACING_STEP / 2 * (run - usual)
+        worker, run = attempt.worker, log(run_us)
+        usual = self._usual(attempt.request.cls, run)
         kind = self.kind_pace.setdefault(worker.kind, Pace(1.0 - SPACING_STEP / 10))
         kind.add(run - usual)
         worker.pace.add(run - usual)
 
+    def _usual(self, cls: int, run: float) -> float:
+        """The usual logarithm of run times of the class before this one, which is counted."""
+        usual = self.class_log[cls]
+        if usual is None:
+            usual = run
+        self.class_log[cls] = usual + SPACING_STEP / 2 * (run - usual)
+        self.class_var[cls] += SPACING_STEP / 2 * ((run - usual) ** 2 - self.class_var[cls])
+        return usual
+
     def _speed(self, worker: Worker) -> float:
         """Jobs take longer here than elsewhere: its free room is worth so much less."""
         kind = self.kind_pace.get(worker.kind)
@@ -625,19 +701,38 @@
 
     def _density(self, cls: int) -> float:
         """Worth for the time that a job of the class takes."""
-        return self.settings.classes[cls].worth / self.class_us[cls]
+        worth = self.settings.classes[cls].worth
+        return worth if self.settings.worth_by_work else worth / self.class_us[cls]
 
     def _pays(self, cls: int) -> bool:
         """A job of the class is worth at least the mean for its time.  Where cancelling stops nothing, a
-        second copy takes a whole job's time from the others."""
+        second copy takes a whole job's time from the others.  Where starts are told, the copy that waits is
+        called off when the other starts: it takes a place in a queue."""
+        if self.settings.tells_start and self.settings.limits.cancel:
+            return True
         worth = work = 0.0
         for c, share in enumerate(self.shares):
-            worth += share * self.settings.classes[c].worth
+            worth += share * self._density(c) * self.class_us[c]
             work += share * self.class_us[c]
-        return self._density(cls) * work >= worth
+        return self._density(cls) * work >= PAYS * worth
+
+    def _in_time(self, request: Request) -> float:
+        """The chance that it would still end within its aim if it started now, by the work that waits.
 
-    def _is_late(self, request: Request) -> bool:
-        return self.now > request.arrived + self._slack(request.cls)
+        The aim grows with the job's own running time, so what has waited for long can be in time only if
+        it is long: the share of such jobs, by their work, of a lognormal with the class's figures.
+        """
+        info = request.info
+        over = self.now - request.arrived + request.age - info.aim_us
+        if over <= 0:
+            return 1.0
+        if info.aim_stretch <= 1.0:
+            return 0.0
+        least = over / (info.aim_stretch - 1.0)
+        var = max(self.class_var[request.cls], SPREAD_LEAST)
+        usual = self.class_log[request.cls]
+        mean = log(self.class_us[request.cls]) - var / 2 if usual is None else usual
+        return 0.5 * erfc((log(least) - mean - var) / sqrt(2 * var))
 
     # ------------------------------------------------------------ who may get work, and the draw
 
@@ -701,6 +796,7 @@
         in another zone than ``other_than`` and has not lost its connections.
         """
         now, settings = self.now, self.settings
+        self.own_waits = sum(len(w.waiting) for w in self.ready)
         fit = [
             w for w in self.ready
             if w is not other_than and self._may_get(w, request) and request.may_send(w, now, settings)
@@ -725,6 +821,7 @@
             mean += max(0.0, room) / len(heard)
             size += w.total / len(heard)
         slots, memory = request.slots, request.memory
+        narrow = bool(self.kept) and slots <= self._widest() / 2
         wanted = self._wanted(request.cls) if heard and self.bound else {}
         cross = 1.0  # crossing zones has a price: while our own has its part of the room, it gets more
         if mean > 0.0 and at_home and settings.prices.cross_zone > 0.0:
@@ -733,7 +830,8 @@
         # fleet's arrivals fill all the room there is; a full worker's state lasts as long as a job takes.
         lasts = self.busy_us
         fills = 1.0 / (1.0 / lasts + 1.0 / (self.gap_us * self.part * max(1.0, mean * size * len(heard))))
-        weights, short = [], []
+        weights, short, rooms = [], [], []
+        known = self.peers.share  # of the other dispatchers
         for w in fit:
             weight = 0.0
             if heard:
@@ -742,26 +840,37 @@
                     own = w.free - w.delta  # an old figure fades into the mean
                     fresh = exp(((w.seen or now) - now) / (fills if own > 0.0 else lasts))
                     others = max(0.0, 1.0 - (own + w.out) / total)
-                    room = 1.0 - w.out / total - fresh * others - (1.0 - fresh) * level
+                    others = fresh * others + (1.0 - fresh) * level
+                    if known > 0.0:
+                        told = self.peers.sums.get(w.key, (0, 0))[0] / total
+                        others = known * told + (1.0 - known) * others
+                    room = 1.0 - w.out / total - others
                     if w.free < 1.0 and not self.queue_told:
                         waits = self._own_waiting(w)
                         if waits > 0.0:  # they take what is given back; others' jobs wait unseen
                             room = min(room, -waits / self.part / total)
+                elif known > 0.0:
+                    told = self.peers.sums.get(w.key, (0, 0))[0] / total
+                    room = min(room, 1.0 - w.out / total - told)
                 room = min(room, 1.0 - w.out / total)
                 fits = room * total > slots - 0.5
                 if memory and w.memory is not None and memory > w.memory:
                     fits = False
                 if w.kind in wanted:
                     room *= wanted[w.kind]
+                if narrow and w.name in self.kept:
+                    room *= KEPT_LEFT
                 if fits and room > 0.0 and now >= w.blocked and not (w.waiting and self._stuck(w)):
                     weight = room * self._speed(w) * (1.0 if w.zone == settings.zone else cross)
-                elif w.kind not in wanted and self._may_wait(w):
+                elif w.kind not in wanted and self._may_wait(w) and not (narrow and w.name in self.kept):
                     short.append(w)
+                    rooms.append(room if slots > 1.0 and room * total > 0.5 else 0.0)
             elif blind:  # figures never come: own attempts out stand for the fill
                 if self._may_wait(w):
                     weight = (1.0 - w.out / most) * self._speed(w)
             elif not w.waiting or not self._stuck(w):
                 short.append(w)
+                rooms.append(0.0)
             if w.cold_from is not None:
                 weight = min(weight, mean) * w.capacity(now, settings)
             weights.append(weight)
@@ -769,8 +878,9 @@
         if whole <= 0.0:
             if roomy or not short:
                 return None
-            fit = short
-            weights = [w.capacity(now, settings) for w in fit]
+            fit, weights = short, rooms  # a job of many slots waits where some of them are free already
+            if sum(weights) <= 0.0:
+                weights = [w.capacity(now, settings) for w in fit]
             whole = sum(weights)
         point = self.random.random() * whole
         for w, weight in zip(fit, weights, strict=True):
@@ -822,15 +932,19 @@
 
     def _rank(self, request: Request) -> tuple[float, int]:
         """What an answer is still worth for the time it takes; then the newest, which has most slack left."""
-        worth = request.worth / (self.class_us[request.cls] * request.slots)
-        if self._is_late(request):
-            worth *= request.info.late_value
-        return -worth, -request.arrived
+        worth = request.worth
+        worth /= self.class_us[request.cls] * (1.0 if self.settings.worth_by_work else request.slots)
+        chance = self._in_time(request)
+        return -worth * (chance + (1.0 - chance) * request.info.late_value), -request.arrived
 
     def _place_held(self) -> None:
         self.changed = False
         held = sorted((r for r in self.held if r.live), key=self._rank)
         self.held = []
+        for request in held:
+            if request.info.late_value <= 0.0 and self._in_time(request) < GIVE_UP and request.may_refuse():
+                self._answer(request)
+        held = [r for r in held if r.live]
         refused: dict[tuple[int, bool], float] = {}  # the least slots for which nobody was found
         for request in held:
             like = (request.cls, bool(request.attempts))
@@ -904,9 +1018,12 @@
             self.tokens[t] = min(quota, self.tokens[t] + quota * self.part * spent / SECOND)
         for c in range(len(self.shares)):
             self.shares[c] += SPACING_STEP / 4 * ((c == event.cls) - self.shares[c])
+        self._observe_width(event.cls, _number(event.slots) or 1.0)
         share = COPY_MANY if self._many() else COPY_SHARE
         self.copies = min(COPY_BURST, self.copies + share)
         request = Request(event, self.settings.classes[event.cls], now)
+        self.class_left[event.cls] = max(self.class_left[event.cls], event.time_left_us)
+        request.age = self.class_left[event.cls] - event.time_left_us  # a later try has less time left
         if self._over_share(event.tenant):
             request.worth *= self.settings.over_share_worth
         self.requests[request.id] = request
@@ -914,6 +1031,32 @@
         if self.held or not self._place(request):  # behind what is held already, by rank
             self._hold(request)
 
+    def _widest(self) -> float:
+        return max((w.total for w in self.ready), default=0.0)
+
+    def _observe_width(self, cls: int, slots: float) -> None:
+        """A job that takes over half of a worker seldom finds one empty enough where narrow jobs are spread
+        evenly: some workers, the same ones at every dispatcher, are left to such jobs."""
+        size = ceil(slots)
+        if size > 1 and (size in self.size_us or len(self.size_us) < SIZES_MOST):
+            self.size_us.setdefault(size, 0.0)
+        step = max(WIDE_STEP, 1.0 / (self.arrivals + 1))
+        for other, work in self.size_us.items():
+            self.size_us[other] = work + step * (slots * self.class_us[cls] * (other == size) - work)
+        if self.arrivals % PART_EVERY:
+            return
+        widest = self._widest()
+        self.wide_us = sum(work for other, work in self.size_us.items() if other > widest / 2)
+        if self.wide_us <= 0.0 or widest <= 1.0:
+            self.kept = frozenset()
+            return
+        share = self.peers.share
+        own = self.wide_us / self.gap_us
+        need = KEPT * (share * (own + self.peers.wide) + (1.0 - share) * own / self.part) / widest
+        count = min(int(need + 0.5), len(self.ready) // 2)
+        order = sorted(self.ready, key=lambda w: (w.key, w.name))
+        self.kept = frozenset(w.name for w in order[:count])
+
     def _over_share(self, tenant: int) -> bool:
         """More of this tenant than its share: our part of its quota is used up."""
         if not 0 <= tenant < len(self.quota) or self.quota[tenant] <= 0:
@@ -1008,7 +1151,10 @@
             took = max(self.settings.tick_us, now - (attempt.started or attempt.sent))
             self.busy_us += SPACING_STEP * (took - self.busy_us)
             self.class_us[request.cls] += SPACING_STEP * (took - self.class_us[request.cls])
-            self._pace(attempt, took)
+            if self.settings.tells_start:
+                self._pace(attempt, took)
+            else:
+                self._usual(request.cls, log(took))
             self._proved(worker)
         elif outcome is Outcome.UNREACHABLE or outcome is Outcome.BROKEN:
             self._strike(worker, outcome is Outcome.UNREACHABLE)
--- a/tansygw/interface.py
+++ b/tansygw/interface.py
@@ -162,6 +162,7 @@
     progress_us: int = 0  # spacing of progress notes; 0: none
     queue_order: str = "fifo"  # fifo, backfill or priority
     hint_meaning: str = "silent"  # what capacity_hint holds: silent, nominal, rough or live
+    worth_by_work: bool = False  # worth counts for each unit of work: long jobs are worth more
     over_share_worth: float = 1.0  # what a request over its tenant's share is worth
 
 
@@ -358,9 +359,16 @@
     """Ask to be sent changes of the worker list."""
 
 
+@dataclass(slots=True)
+class Tell:
+    """Send a message to every other dispatcher of the group: text of at most 256 bytes."""
+
+    data: str
+
+
 @dataclass(slots=True)
 class Log:
     text: str
 
 
-Action: TypeAlias = Send | Refuse | Fail | Cancel | Check | SetTimer | Subscribe | Log
+Action: TypeAlias = Send | Refuse | Fail | Cancel | Check | SetTimer | Subscribe | Tell | Log
--- a/tansygw/settings.py
+++ b/tansygw/settings.py
@@ -116,6 +116,7 @@
         progress_us=family.get("ProgressUs", 0),
         queue_order=str(family.get("QueueOrder", "fifo")),
         hint_meaning=str(data.get("Weights", "silent")),
+        worth_by_work=data.get("WorthBy") == "work",
         over_share_worth=data.get("OverShareWorth", 1.0),
     )
     return settings, names
