Words between nodes on UDP, where settings and configuration allow; unknown tenants have no share

Need: the words of the decisions have to travel between real nodes. An unknown or absent X-Tenant-Id counted as the first tenant, so that a flood of made-up names used up its share. NO_TENANT stands for none of the settings' tenants.

--- a/rushsaddle/config.py
+++ b/rushsaddle/config.py
@@ -12,7 +12,7 @@
 from tansygw.interface import Settings
 from tansygw.settings import settings_from
 
-from .core.names import Address, Names, address
+from .core.names import Address, Names, PeerAddresses, address
 
 
 class ConfigError(Exception):
@@ -35,6 +35,7 @@
     tenant_names: tuple[str, ...]
     names: Names
     conn_idle_us: int
+    peers: PeerAddresses | None  # None: nodes say nothing to each other
 
 
 def _address(name: str, text: Any) -> Address:
@@ -58,6 +59,21 @@
         raise ConfigError(f"seed: {text!r} is not a hexadecimal number") from None
 
 
+def _peers(data: dict[str, Any], settings: Settings) -> PeerAddresses | None:
+    """Where words between nodes go, where the settings allow them and the file says it."""
+    if not settings.limits.peer_messages or settings.group_size < 2 or not data.get("peer_listen"):
+        return None
+    nodes = data.get("peers")
+    if not isinstance(nodes, list) or len(nodes) > settings.group_size:
+        raise ConfigError(f"peers: not a list of at most {settings.group_size} addresses")
+    everybody = data.get("peers_all")
+    return PeerAddresses(
+        _address("peer_listen", data["peer_listen"]),
+        tuple(_address(f"peers[{n}]", text) for n, text in enumerate(nodes)),
+        _address("peers_all", everybody) if everybody else None,
+    )
+
+
 def _descriptor(text: str | None) -> int | None:
     """A descriptor that this process has inherited; that it is open is seen when it is used."""
     if not text:
@@ -121,4 +137,5 @@
         tenant_names=tuple(t.name for t in settings.tenants),
         names=names,
         conn_idle_us=int(idle_us),
+        peers=_peers(data, settings),
     )
--- a/rushsaddle/core/decider.py
+++ b/rushsaddle/core/decider.py
@@ -26,6 +26,7 @@
     Send,
     SetTimer,
     Subscribe,
+    Tell,
     Terms,
     TimerFired,
 )
@@ -58,6 +59,7 @@
         self.tally = tally
         self.hops: Hops | None = None
         self.subscribe: Callable[[], None] = lambda: None
+        self.tell: Callable[[str], None] = lambda text: None  # a word for the other nodes
         self.transactions: dict[int, Transaction] = {}
         self.names: set[str] = set()  # of all transactions that are open, or have a branch out
         self.stepped_us = 0
@@ -181,6 +183,8 @@
             heapq.heappush(self._timers, (now + max(1, action.after_us), action.token))
         elif isinstance(action, Subscribe):
             self.subscribe()
+        elif isinstance(action, Tell):
+            self.tell(action.data)
         elif isinstance(action, Log):
             self.log.event("decisions", text=action.text)
 
--- a/rushsaddle/core/names.py
+++ b/rushsaddle/core/names.py
@@ -24,6 +24,19 @@
     raise ValueError(f"{text!r} is not an IPv4 address and port")
 
 
+@dataclass(slots=True, frozen=True)
+class PeerAddresses:
+    """Where words go and come from.
+
+    ``everybody`` takes a datagram for all nodes of the group; ``nodes`` are the addresses that they send
+    from, by number.
+    """
+
+    listen: Address
+    nodes: tuple[Address, ...]
+    everybody: Address | None
+
+
 @dataclass(slots=True, frozen=True)
 class Names:
     """Zones and machine kinds are numbers to the decisions: their places in the settings' lists."""
--- a/rushsaddle/net/caller.py
+++ b/rushsaddle/net/caller.py
@@ -14,7 +14,7 @@
 import h11
 import orjson
 
-from tansygw.interface import ANY_TERMS
+from tansygw.interface import ANY_TERMS, NO_TENANT
 
 from ..core.admission import Limiter, Turned
 from ..core.decider import Decider
@@ -415,7 +415,7 @@
         cost = int(number("X-Cost", headers.get(b"x-cost", b"0"), COST_MOST))
         job = Job(
             cls.number, attrs.get("slots", 1.0), attrs.get("memory", 0.0),
-            self.tenants.get(headers.get(b"x-tenant-id", b"").decode("latin-1"), 0), key,
+            self.tenants.get(headers.get(b"x-tenant-id", b"").decode("latin-1"), NO_TENANT), key,
             headers.get(b"x-retried") == b"1", cost,
         )
         return job, wait_us
--- a/rushsaddle/node.py
+++ b/rushsaddle/node.py
@@ -27,6 +27,7 @@
 from .net.caller import Callers, Class
 from .net.discovery import Discovery
 from .net.nexthop import NextHops
+from .net.peers import PeerLink
 
 if TYPE_CHECKING:  # read only where an operator has set something: the platform's node stays lean
     from .limits.service import Limiter
@@ -102,6 +103,10 @@
             Random(told.seed).random,
         )
         self.decider.subscribe = self.discovery.subscribe
+        self.peers: PeerLink | None = None
+        if told.peers is not None:
+            self.peers = PeerLink(self.loop, self.log, self.decider.put, told.peers, settings.rank)
+            self.decider.tell = self.peers.tell
         classes = {c.name: Class(n, c.deadline_us) for n, c in enumerate(settings.classes)}
         tenants = {name: n for n, name in enumerate(told.tenant_names)}
         self.callers = Callers(
@@ -135,6 +140,8 @@
         if self.waiting is not None:
             self.waiting.start()
         self.loop.spawn(self.hops.sweep())
+        if self.peers is not None:
+            self.loop.spawn(self.peers.run())
         self.loop.spawn(self._heed(signals))
         if self.takeover is not None and self.takeover.reach():
             self.loop.spawn(self._join(listen, door))
--- a/tansygw/decide.py
+++ b/tansygw/decide.py
@@ -1058,8 +1058,11 @@
         self.kept = frozenset(w.name for w in order[:count])
 
     def _over_share(self, tenant: int) -> bool:
-        """More of this tenant than its share: our part of its quota is used up."""
-        if not 0 <= tenant < len(self.quota) or self.quota[tenant] <= 0:
+        """More of this tenant than its share: our part of its quota is used up.  One that the
+        settings do not name has no share."""
+        if not 0 <= tenant < len(self.quota):
+            return bool(self.quota)
+        if self.quota[tenant] <= 0:
             return False
         if self.tokens[tenant] < 1.0:
             return True
--- a/tansygw/interface.py
+++ b/tansygw/interface.py
@@ -219,6 +219,9 @@
 ANY_TERMS = Terms()
 
 
+NO_TENANT = -1  # a request that names none of the settings' tenants: it has no share
+
+
 @dataclass(slots=True)
 class RequestArrived:
     request: int
--- a/tests/play.py
+++ b/tests/play.py
@@ -69,6 +69,7 @@
         self.limits = {"sockets": 256}
         self.files = 0  # descriptors that the system gives the node; 0: its usual
         self.hops = ["h1"]
+        self.more: dict[str, Any] = {}  # further keys of the configuration
         self.operator: dict[str, str] = {}
         self.node: subprocess.Popen[bytes] | None = None
         self.told: dict[str, Any] = {}  # the configuration that it started with
@@ -86,7 +87,7 @@
         self.told = {
             "name": "n0", "listen": "127.0.0.1:0", "admin_addr": "127.0.0.1:0", "seed": "1f",
             "limits": self.limits, "discovery": discovery, "settings": self.settings,
-            "known": {"rev": 41, "all": True, "targets": targets},
+            "known": {"rev": 41, "all": True, "targets": targets}, **self.more,
         }
         self.configure(json.dumps(self.told))
         env = {**os.environ, "GW_CONFIG": str(self.folder / "config.json"), "GW_DISCOVERY": discovery}
