Pushed lists are watched from the start; a node that ends serves on for its callers

Cause: only an answer to Subscribe opened the watch, and the decisions subscribe only where the list is on request. Restarts: n0 draining at 16.2 s, killed at 19.9, ready at 20.8, and 33% of the requests of 15 to 20 s failed since clients there have no other node (net/caller.py closed what was open). Change: with pushed lists there is always a watch, opened again with jitter. A node that ends serves on, on open and new connections, for half of the time before the kill, and what comes after SIGTERM has its answer 0.2 s before it. A try counts as a later one of its client only where some of the class were turned away.

--- a/rushsaddle/net/caller.py
+++ b/rushsaddle/net/caller.py
@@ -50,8 +50,12 @@
 DRAIN_ACCEPT_US = 500_000  # after SIGTERM new connections go on coming for a moment
 DRAIN_IDLE_US = 500_000  # a leg that comes while the node empties may send its request within this
 # Idle legs are closed one after another, in this span after the word: most callers use theirs before and are
-# told by its answer.  What comes later than 0.7 s after SIGTERM may be lost, so there it is a short one.
+# told by its answer.
 LEAVE_US = {Phase.PAUSED: (500_000, 1_500_000), Phase.ENDING: (200_000, 600_000)}
+# SIGKILL comes no sooner after SIGTERM than the longest deadline, at most the first of these, and the second.
+# What comes meanwhile is answered before that, with the third to spare.  A node that ends serves on for half
+# of that time, since its callers may have no other, and leaves the rest to what it holds.
+KILL_US = (3_000_000, 700_000, 200_000)
 TIMEOUT_MOST = 86_400.0  # seconds; no figure of a caller may grow without bound in the decisions
 ATTR_MOST = 1e6
 COST_MOST = 1e12
@@ -133,6 +137,8 @@
         self.limiter: Limiter | None = None
         self.heir: Heir | None = None  # serves beside us, and takes our legs once we end
         self.life = life
+        self.stay_us = 0  # a node that ends serves on until then: its callers may have no other
+        self.last_us: int | None = None  # ... and answers by then what came after it was told to end
         life.watch(self._changed)
         self._listener: Listener | None = None
         self._acceptor: Task | None = None
@@ -210,7 +216,7 @@
         if listener is None:
             return
         if not listener.inherited:
-            until = self.loop.now_us() + DRAIN_ACCEPT_US
+            until = max(self.loop.now_us() + DRAIN_ACCEPT_US, self.stay_us)
             while self.loop.now_us() < until:
                 yield Wait(until_us=until)
             self._accept_some(listener.sock, self.budget)
@@ -225,12 +231,17 @@
                 if leg.idle or leg.heading:
                     self.wake(leg)
             return
+        now = self.loop.now_us()
+        if self.life.phase is Phase.ENDING and self.last_us is None and self.heir is None:
+            longest = max((c.deadline_us for c in self.classes.values()), default=0)
+            self.last_us = now + min(longest, KILL_US[0]) + KILL_US[1] - KILL_US[2]
+            self.stay_us = now + (self.last_us - now) // 2
         span = LEAVE_US.get(self.life.phase)
         idle = [leg for leg in self.legs if leg.idle]
         for n, leg in enumerate(idle):
             leg.leave_us = None
             if span is not None:
-                leg.leave_us = self.loop.now_us() + span[0] + (span[1] - span[0]) * n // len(idle)
+                leg.leave_us = max(now, self.stay_us) + span[0] + (span[1] - span[0]) * n // len(idle)
             self.wake(leg)
 
     # ------------------------------------------------------------ one leg
@@ -299,7 +310,7 @@
     def _idle_until(self, leg: Leg, since: int) -> int:
         until = since + IDLE_US if leg.proven else leg.opened_us + READ_US
         if self.life.leaving:
-            until = min(until, leg.leave_us or since + DRAIN_IDLE_US)
+            until = min(until, leg.leave_us or max(since, self.stay_us) + DRAIN_IDLE_US)
         return until
 
     def _serve(self, leg: Leg, head: Any, until_us: int) -> Coroutine[bool]:
@@ -355,9 +366,11 @@
                 return (yield from self.reply(leg, let_in.status, f"{let_in.why}\n".encode(), more))
             wait_us = min(wait_us, let_in.timeout_us)
             terms, permit = let_in.terms, let_in.permit
+        until = received + wait_us
+        if self.last_us is not None:
+            until = min(until, max(received, self.last_us))
         transaction = self.decider.submit(
-            name, job, payload, received, received + wait_us, lambda: self.wake(leg), terms=terms,
-            permit=permit,
+            name, job, payload, received, until, lambda: self.wake(leg), terms=terms, permit=permit,
         )
         return (yield from self.await_answer(leg, transaction))
 
@@ -425,7 +438,8 @@
     ) -> Coroutine[bool]:
         stream = leg.stream
         headers = [(b"Content-Length", b"%d" % len(body)), *(more or [])]
-        if close or (self.life.leaving and not self._handing):
+        stays = self._handing or self.loop.now_us() < self.stay_us
+        if close or (self.life.leaving and not stays):
             headers.append((b"Connection", b"close"))
         events: list[Any] = [h11.Response(
             status_code=status, reason=HTTPStatus(status).phrase.encode(), headers=headers
--- a/rushsaddle/net/discovery.py
+++ b/rushsaddle/net/discovery.py
@@ -39,7 +39,7 @@
 class Discovery:
     def __init__(
         self, loop: Loop, log: Log, put: Callable[[Event], None], hops: NextHops, names: Names,
-        address: Address, connect_timeout_us: int, draw: Callable[[], float],
+        address: Address, connect_timeout_us: int, draw: Callable[[], float], pushed: bool = False,
     ) -> None:
         self.loop = loop
         self.log = log
@@ -49,6 +49,7 @@
         self.address = address
         self.connect_timeout_us = connect_timeout_us
         self.draw = draw  # from 0 to 1, each node its own
+        self.pushed = pushed  # the list comes unasked: there is always a watch, and it costs nobody anything
         self.version = 0
         self._failed = 0  # calls since the service was replaced
         self._owed = 0  # calls without an answer
@@ -91,16 +92,16 @@
 
     def _run(self) -> Coroutine[None]:
         while True:
-            while not self._owed and self._hurry_until_us is None:
+            while not self._owed and self._hurry_until_us is None and not self.pushed:
                 yield Wait()
             try:
                 yield from self._watch(self._moves)
             except Exception as error:
                 self.log.error("discovery failed", error)
-                if self._hurry_until_us is not None:
+                if self.pushed or self._hurry_until_us is not None:
                     self._failed += 1
                     again = self.loop.now_us() + again_us(self._failed, self.draw())
-                    if again < self._hurry_until_us:
+                    if self.pushed or (self._hurry_until_us is not None and again < self._hurry_until_us):
                         yield Wait(until_us=again)
                         continue
                     self._hurry_until_us = None
@@ -144,6 +145,7 @@
                             for _ in range(self._owed - 1):
                                 self.put(WorkerList(ListKind.CHANGES, (), self.version))
                             self._following, self._owed, self._hurry_until_us = True, 0, None
+                            self._failed = 0
                     if self._following:
                         patience = self.loop.now_us() + SILENCE_US
                 elif not isinstance(event, h11.InformationalResponse):
--- a/rushsaddle/node.py
+++ b/rushsaddle/node.py
@@ -100,7 +100,7 @@
         self.decider.hops = self.hops
         self.discovery = Discovery(
             self.loop, self.log, self.decider.put, self.hops, told.names, told.discovery, connect_us,
-            Random(told.seed).random,
+            Random(told.seed).random, not settings.list_on_request,
         )
         self.decider.subscribe = self.discovery.subscribe
         self.peers: PeerLink | None = None
--- a/tansygw/decide.py
+++ b/tansygw/decide.py
@@ -359,6 +359,7 @@
         self.class_us = [float(c.aim_us) for c in settings.classes]  # the same by class
         self.bound = [n for n, c in enumerate(settings.classes) if c.kind >= 0]  # classes bound to one kind
         self.class_left = [0] * len(aims)  # the longest time that a client of the class was seen to wait
+        self.class_turned = [-(2**62)] * len(aims)  # when one of the class was last refused or failed
         self.class_var = [SPREAD] * len(aims)  # variance of the logarithm of run times by class
         self.class_log: list[float | None] = [None] * len(aims)  # logarithm of the run times by class
         self.kind_pace: dict[int, Pace] = {}
@@ -989,11 +990,13 @@
             self.actions.append(Refuse(request.id, self._come_back()))
         else:
             self.actions.append(Fail(request.id))
+        self.class_turned[request.cls] = self.now
         self._close(request)
 
     def _deadline(self, request: Request) -> None:
         if not request.streaming:
             self.actions.append(Fail(request.id))
+            self.class_turned[request.cls] = self.now
             self._close(request)
 
     def census(self) -> tuple[int, int]:
@@ -1023,7 +1026,10 @@
         self.copies = min(COPY_BURST, self.copies + share)
         request = Request(event, self.settings.classes[event.cls], now)
         self.class_left[event.cls] = max(self.class_left[event.cls], event.time_left_us)
-        request.age = self.class_left[event.cls] - event.time_left_us  # a later try has less time left
+        # A later try has less time left than a first one; there are none where nobody was turned away.
+        age = self.class_left[event.cls] - event.time_left_us
+        if now - self.class_turned[event.cls] <= age:
+            request.age = age
         if self._over_share(event.tenant):
             request.worth *= self.settings.over_share_worth
         self.requests[request.id] = request
