Kept workers, pooled T_j and room for wide jobs only where they are known alike

Change: T_j is pooled only among workers of one registered size (hints nominal); workers are kept, and wide jobs sent by room, only where words are heard; a held job is refused when its chance to be in time is under one in fifty, no longer one in ten.

--- a/tansygw/decide.py
+++ b/tansygw/decide.py
@@ -98,7 +98,7 @@
 WAITS = 1.5  # jobs that wait at a worker, from all dispatchers together
 SPREAD = 1.0  # variance of the logarithm of run times before any were seen: they spread widely
 SPREAD_LEAST = 0.04
-GIVE_UP = 0.1  # a held request that would be late with all but this chance is given up
+GIVE_UP = 0.02  # a held request that would be late with all but this chance is given up
 
 SLOTS_MOST = 10_000.0  # no machine has more slots: such a figure would stand as T_j and open a cold budget
 SECOND = 1_000_000  # microseconds
@@ -542,14 +542,15 @@
             return
         seen = worker.seen
         new = worker.learn(report, self.now, self.spacing)
-        if new and worker.total > self.kind_slots.get((worker.kind, worker.hint), 0.0):
-            self.kind_slots[worker.kind, worker.hint] = worker.total
-            for w in self.workers.values():
-                if w.kind == worker.kind and w.hint == worker.hint and w.total:
-                    w.total = max(w.total, worker.total)
-        elif worker.total:
-            worker.total = max(worker.total, self.kind_slots.get((worker.kind, worker.hint), 0.0))
         self.changed = self.changed or new
+        if worker.total and self.settings.hint_meaning == "nominal":  # of one size, so of one T_j
+            like = worker.kind, worker.hint
+            if worker.total > self.kind_slots.get(like, 0.0):
+                self.kind_slots[like] = worker.total
+                for w in self.workers.values():
+                    if (w.kind, w.hint) == like and w.total:
+                        w.total = worker.total
+            worker.total = self.kind_slots[like]
         if seen is not None:
             # A figure that has changed shows a spacing of at most its age, one that has not at least that.
             age = self.now - seen
@@ -865,7 +866,7 @@
                     weight = room * self._speed(w) * (1.0 if w.zone == settings.zone else cross)
                 elif w.kind not in wanted and self._may_wait(w) and not (narrow and w.name in self.kept):
                     short.append(w)
-                    rooms.append(room if slots > 1.0 and room * total > 0.5 else 0.0)
+                    rooms.append(room if known > 0.0 and slots > 1.0 and room * total > 0.5 else 0.0)
             elif blind:  # figures never come: own attempts out stand for the fill
                 if self._may_wait(w):
                     weight = (1.0 - w.out / most) * self._speed(w)
@@ -1053,10 +1054,10 @@
             return
         widest = self._widest()
         self.wide_us = sum(work for other, work in self.size_us.items() if other > widest / 2)
-        if self.wide_us <= 0.0 or widest <= 1.0:
+        share = self.peers.share
+        if self.wide_us <= 0.0 or widest <= 1.0 or share <= 0.0:  # without words each would keep others
             self.kept = frozenset()
             return
-        share = self.peers.share
         own = self.wide_us / self.gap_us
         need = KEPT * (share * (own + self.peers.wide) + (1.0 - share) * own / self.part) / widest
         count = min(int(need + 0.5), len(self.ready) // 2)
