--- a/rushsaddle/net/caller.py
+++ b/rushsaddle/net/caller.py
@@ -53,9 +53,9 @@
 # told by its answer.
 LEAVE_US = {Phase.PAUSED: (500_000, 1_500_000), Phase.ENDING: (200_000, 600_000)}
 # SIGKILL comes no sooner after SIGTERM than the longest deadline, at most the first of these, and the second.
-# What comes meanwhile is answered before that, with the third to spare.  A node that ends serves on for half
-# of that time, since its callers may have no other, and leaves the rest to what it holds.
-KILL_US = (3_000_000, 700_000, 200_000)
+KILL_LONGEST_US = 3_000_000
+KILL_GRACE_US = 700_000
+ANSWER_SPARE_US = 200_000  # what comes after SIGTERM is answered so long before SIGKILL
 TIMEOUT_MOST = 86_400.0  # seconds; no figure of a caller may grow without bound in the decisions
 ATTR_MOST = 1e6
 COST_MOST = 1e12
@@ -234,7 +234,8 @@
         now = self.loop.now_us()
         if self.life.phase is Phase.ENDING and self.last_us is None and self.heir is None:
             longest = max((c.deadline_us for c in self.classes.values()), default=0)
-            self.last_us = now + min(longest, KILL_US[0]) + KILL_US[1] - KILL_US[2]
+            self.last_us = now + min(longest, KILL_LONGEST_US) + KILL_GRACE_US - ANSWER_SPARE_US
+            # Serve on for half of that time, and leave the rest to what is held by then.
             self.stay_us = now + (self.last_us - now) // 2
         span = LEAVE_US.get(self.life.phase)
         idle = [leg for leg in self.legs if leg.idle]
--- a/rushsaddle/net/discovery.py
+++ b/rushsaddle/net/discovery.py
@@ -5,6 +5,7 @@
 import select
 import socket
 from collections.abc import Callable
+from math import inf
 from typing import Any
 
 import h11
@@ -51,7 +52,7 @@
         self.draw = draw  # from 0 to 1, each node its own
         self.pushed = pushed  # the list comes unasked: there is always a watch, and it costs nobody anything
         self.version = 0
-        self._failed = 0  # calls since the service was replaced
+        self._failed = 0  # calls in a row, since the service was replaced
         self._owed = 0  # calls without an answer
         self._following = False  # the open watch has told its first list
         self._moves = 0  # how often the service was replaced
@@ -98,10 +99,11 @@
                 yield from self._watch(self._moves)
             except Exception as error:
                 self.log.error("discovery failed", error)
-                if self.pushed or self._hurry_until_us is not None:
+                until = inf if self.pushed else self._hurry_until_us
+                if until is not None:
                     self._failed += 1
                     again = self.loop.now_us() + again_us(self._failed, self.draw())
-                    if self.pushed or (self._hurry_until_us is not None and again < self._hurry_until_us):
+                    if again < until:
                         yield Wait(until_us=again)
                         continue
                     self._hurry_until_us = None
--- a/tansygw/decide.py
+++ b/tansygw/decide.py
@@ -15,6 +15,7 @@
 from collections import deque
 from collections.abc import Callable, Sequence
 from math import ceil, erfc, exp, inf, isfinite, log, sqrt
+from operator import itemgetter
 from random import Random
 from typing import Any
 
@@ -89,7 +90,6 @@
 SIZES_MOST = 16  # sizes of jobs that are told apart
 WIDE_STEP = 0.005  # weight of the newest arrival in the mean of wide jobs, which are few
 KEPT = 1.4  # workers left to wide jobs, by those that wide jobs keep busy
-KEPT_LEFT = 0.0  # of their room, this share counts for narrow jobs
 
 PEER_COST = 0.005  # points of the result that words between dispatchers may cost
 PEER_QUIET = 2.0  # times a job takes: so long after its last word a dispatcher speaks though nothing changed
@@ -376,7 +376,6 @@
         self.peers = Peers(settings.group_size, settings.rank)
         self.told: dict[int, tuple[int, int]] = {}
         self.told_at = self.tell_next = 0
-        self.own_waits = 0  # own attempts without a start note
         self.size_us: dict[int, float] = {}  # slot time for each arrival, by the slots of the job
         self.wide_us = 0.0  # ... of those that take over half of a worker
         self.kept: frozenset[str] = frozenset()  # workers that narrow jobs leave to the wide ones
@@ -662,12 +661,17 @@
 
     def _may_wait(self, worker: Worker) -> bool:
         """One more own job may wait there: none does, and it has not just turned one away."""
-        if self.settings.tells_start and self.own_waits >= max(1.0, WAITS * self.part * len(self.ready)):
-            return False
-        if self.peers.sums.get(worker.key, (0, 0))[1] > 0:
+        if self.peers.at(worker.key)[1] > 0:
             return False
         return self._own_waiting(worker) <= 0.0 and self.now >= worker.blocked
 
+    def _enough_wait(self) -> bool:
+        """Own jobs that wait anywhere are our part of those that may."""
+        if not self.settings.tells_start:
+            return False
+        waits = sum(len(w.waiting) for w in self.ready)
+        return waits >= max(1.0, WAITS * self.part * len(self.ready))
+
     def _pace(self, attempt: Attempt, run_us: float) -> None:
         """Count a run time, told at its end or foretold by its first progress note."""
         if attempt.paced or not attempt.started or run_us <= 0:
@@ -798,7 +802,6 @@
         in another zone than ``other_than`` and has not lost its connections.
         """
         now, settings = self.now, self.settings
-        self.own_waits = sum(len(w.waiting) for w in self.ready)
         fit = [
             w for w in self.ready
             if w is not other_than and self._may_get(w, request) and request.may_send(w, now, settings)
@@ -823,7 +826,7 @@
             mean += max(0.0, room) / len(heard)
             size += w.total / len(heard)
         slots, memory = request.slots, request.memory
-        narrow = bool(self.kept) and slots <= self._widest() / 2
+        kept = self.kept if self.kept and slots <= self._widest() / 2 else frozenset()
         wanted = self._wanted(request.cls) if heard and self.bound else {}
         cross = 1.0  # crossing zones has a price: while our own has its part of the room, it gets more
         if mean > 0.0 and at_home and settings.prices.cross_zone > 0.0:
@@ -834,25 +837,27 @@
         fills = 1.0 / (1.0 / lasts + 1.0 / (self.gap_us * self.part * max(1.0, mean * size * len(heard))))
         weights, short, rooms = [], [], []
         known = self.peers.share  # of the other dispatchers
+        enough = self._enough_wait()
         for w in fit:
             weight = 0.0
+            if heard and w.name in kept:
+                weights.append(0.0)
+                continue
             if heard:
                 total, room = w.total or size, mean
+                told = self.peers.at(w.key)[0] / total
                 if w.heard is not None and w.total > 0:
                     own = w.free - w.delta  # an old figure fades into the mean
                     fresh = exp(((w.seen or now) - now) / (fills if own > 0.0 else lasts))
                     others = max(0.0, 1.0 - (own + w.out) / total)
                     others = fresh * others + (1.0 - fresh) * level
-                    if known > 0.0:
-                        told = self.peers.sums.get(w.key, (0, 0))[0] / total
-                        others = known * told + (1.0 - known) * others
+                    others = known * told + (1.0 - known) * others
                     room = 1.0 - w.out / total - others
                     if w.free < 1.0 and not self.queue_told:
                         waits = self._own_waiting(w)
                         if waits > 0.0:  # they take what is given back; others' jobs wait unseen
                             room = min(room, -waits / self.part / total)
                 elif known > 0.0:
-                    told = self.peers.sums.get(w.key, (0, 0))[0] / total
                     room = min(room, 1.0 - w.out / total - told)
                 room = min(room, 1.0 - w.out / total)
                 fits = room * total > slots - 0.5
@@ -860,15 +865,13 @@
                     fits = False
                 if w.kind in wanted:
                     room *= wanted[w.kind]
-                if narrow and w.name in self.kept:
-                    room *= KEPT_LEFT
                 if fits and room > 0.0 and now >= w.blocked and not (w.waiting and self._stuck(w)):
                     weight = room * self._speed(w) * (1.0 if w.zone == settings.zone else cross)
-                elif w.kind not in wanted and self._may_wait(w) and not (narrow and w.name in self.kept):
+                elif w.kind not in wanted and not enough and self._may_wait(w):
                     short.append(w)
                     rooms.append(room if known > 0.0 and slots > 1.0 and room * total > 0.5 else 0.0)
             elif blind:  # figures never come: own attempts out stand for the fill
-                if self._may_wait(w):
+                if not enough and self._may_wait(w):
                     weight = (1.0 - w.out / most) * self._speed(w)
             elif not w.waiting or not self._stuck(w):
                 short.append(w)
@@ -932,23 +935,28 @@
         self.held.append(request)
         self.changed = True
 
-    def _rank(self, request: Request) -> tuple[float, int]:
-        """What an answer is still worth for the time it takes; then the newest, which has most slack left."""
+    def _rank(self, request: Request, chance: float) -> tuple[float, int]:
+        """What an answer is still worth for the time it takes, with this chance to be in time; then the
+        newest, which has most slack left."""
         worth = request.worth
         worth /= self.class_us[request.cls] * (1.0 if self.settings.worth_by_work else request.slots)
-        chance = self._in_time(request)
         return -worth * (chance + (1.0 - chance) * request.info.late_value), -request.arrived
 
     def _place_held(self) -> None:
         self.changed = False
-        held = sorted((r for r in self.held if r.live), key=self._rank)
-        self.held = []
-        for request in held:
-            if request.info.late_value <= 0.0 and self._in_time(request) < GIVE_UP and request.may_refuse():
+        held: list[tuple[tuple[float, int], Request]] = []
+        for request in self.held:
+            if not request.live:
+                continue
+            chance = self._in_time(request)
+            if request.info.late_value <= 0.0 and chance < GIVE_UP and request.may_refuse():
                 self._answer(request)
-        held = [r for r in held if r.live]
+            else:
+                held.append((self._rank(request, chance), request))
+        held.sort(key=itemgetter(0))
+        self.held = []
         refused: dict[tuple[int, bool], float] = {}  # the least slots for which nobody was found
-        for request in held:
+        for _, request in held:
             like = (request.cls, bool(request.attempts))
             if request.slots < refused.get(like, inf):
                 if self._place(request):
@@ -1044,6 +1052,8 @@
     def _observe_width(self, cls: int, slots: float) -> None:
         """A job that takes over half of a worker seldom finds one empty enough where narrow jobs are spread
         evenly: some workers, the same ones at every dispatcher, are left to such jobs."""
+        if not self.settings.limits.peer_messages:
+            return  # each dispatcher would keep workers of its own choice
         size = ceil(slots)
         if size > 1 and (size in self.size_us or len(self.size_us) < SIZES_MOST):
             self.size_us.setdefault(size, 0.0)
@@ -1055,7 +1065,7 @@
         widest = self._widest()
         self.wide_us = sum(work for other, work in self.size_us.items() if other > widest / 2)
         share = self.peers.share
-        if self.wide_us <= 0.0 or widest <= 1.0 or share <= 0.0:  # without words each would keep others
+        if self.wide_us <= 0.0 or widest <= 1.0 or share <= 0.0:
             self.kept = frozenset()
             return
         own = self.wide_us / self.gap_us
--- a/tansygw/peers.py
+++ b/tansygw/peers.py
@@ -138,8 +138,12 @@
             self._add(key, load, 1)
         return True
 
+    def at(self, key: int) -> tuple[int, int]:
+        """Slots that the others have taken at a worker, and of these the ones of jobs that wait."""
+        return self.sums.get(key, (0, 0))
+
     def _add(self, key: int, load: tuple[int, int], sign: int) -> None:
-        slots, waiting = self.sums.get(key, (0, 0))
+        slots, waiting = self.at(key)
         slots, waiting = slots + sign * load[0], waiting + sign * load[1]
         if slots > 0:
             self.sums[key] = slots, waiting
--- a/tests/test_trouble.py
+++ b/tests/test_trouble.py
@@ -161,7 +161,7 @@
     full(d)
     greedy = [d.request(tenant=1, after=MS)[0] for _ in range(6)]
     modest = d.request(tenant=0, after=MS)[0]
-    ranks = {r.id: d.dispatcher._rank(r) for r in d.dispatcher.held}
+    ranks = {r.id: d.dispatcher._rank(r, d.dispatcher._in_time(r)) for r in d.dispatcher.held}
     assert ranks[modest] < ranks[greedy[-1]]
 
 
