--- a/rushsaddle/core/decider.py
+++ b/rushsaddle/core/decider.py
@@ -217,5 +217,5 @@
     job = t.job
     return RequestArrived(
         t.number, job.cls, max(0, t.deadline_us - now), job.slots, job.memory, job.tenant, job.key,
-        job.repeat, job.expected_us, t.earlier, t.terms,
+        job.repeat, job.expected_us, t.earlier, t.terms, job.keyed,
     )
--- a/rushsaddle/core/transaction.py
+++ b/rushsaddle/core/transaction.py
@@ -49,6 +49,7 @@
     key: str = ""
     repeat: bool = False
     expected_us: int = 0
+    keyed: bool = True  # a next hop that drops repeats would know one of it
 
 
 class Branch:
--- a/rushsaddle/net/caller.py
+++ b/rushsaddle/net/caller.py
@@ -430,7 +430,7 @@
         job = Job(
             cls.number, attrs.get("slots", 1.0), attrs.get("memory", 0.0),
             self.tenants.get(headers.get(b"x-tenant-id", b"").decode("latin-1"), NO_TENANT), key,
-            headers.get(b"x-retried") == b"1", cost,
+            headers.get(b"x-retried") == b"1", cost, bool(headers.get(b"idempotency-key")),
         )
         return job, wait_us
 
--- a/rushsaddle/waiting/records.py
+++ b/rushsaddle/waiting/records.py
@@ -33,9 +33,12 @@
     key: str
     repeat: bool
     expected_us: int
+    keyed: bool = True  # last, with a default: journals of before have none
 
     def job(self, cls: int) -> Job:
-        return Job(cls, self.slots, self.memory, self.tenant, self.key, self.repeat, self.expected_us)
+        return Job(
+            cls, self.slots, self.memory, self.tenant, self.key, self.repeat, self.expected_us, self.keyed
+        )
 
 
 class Sent(msgspec.Struct, frozen=True, array_like=True, gc=False):
--- a/rushsaddle/waiting/recover.py
+++ b/rushsaddle/waiting/recover.py
@@ -46,7 +46,7 @@
         return GiveUp(502, "its class is not known any more")
     if not sent:
         return GiveUp(504, "its time was up") if now >= job.give_up_us else WaitOn()
-    if info.effect is Effect.FRAGILE:
+    if info.effect is Effect.FRAGILE or (info.effect is Effect.DEDUP and not job.keyed):
         return GiveUp(502, "it may have run before a restart and must not run twice")
     if len(sent) >= most_attempts:
         return GiveUp(502, "it may have run before a restart and has no attempt left")
--- a/rushsaddle/waiting/service.py
+++ b/rushsaddle/waiting/service.py
@@ -109,7 +109,7 @@
         ticket = Ticket(on_change, lasts=True)
         kept = Kept(
             name, self.settings.classes[job.cls].name, due_us, give_up_us, after, job.slots, job.memory,
-            job.tenant, job.key, job.repeat, job.expected_us,
+            job.tenant, job.key, job.repeat, job.expected_us, job.keyed,
         )
         why = self.plan.submit(now, Submission(
             name, job.cls, due_us, give_up_us, after, job.slots, unkept=True, what=ticket
--- a/tansygw/decide.py
+++ b/tansygw/decide.py
@@ -146,13 +146,16 @@
 class Request:
     """One request, its attempts, and what may legally be sent or answered for it."""
 
-    __slots__ = ("age", "arrived", "attempts", "cls", "deadline", "earlier", "expected_us", "id", "info",
-                 "live", "memory", "out", "slots", "streaming", "terms", "worth")
+    __slots__ = ("age", "arrived", "attempts", "cls", "deadline", "earlier", "effect", "expected_us", "id",
+                 "info", "live", "memory", "out", "slots", "streaming", "terms", "worth")
 
     def __init__(self, event: RequestArrived, info: RequestClass, now: int) -> None:
         self.id = event.request
         self.cls = event.cls
         self.info = info
+        self.effect = info.effect  # without a key to know it by, nobody drops a repeat
+        if info.effect is Effect.DEDUP and not event.keyed:
+            self.effect = Effect.FRAGILE
         self.expected_us = event.expected_us
         self.arrived = now
         self.age = 0  # how long the client had waited before this try
@@ -180,9 +183,9 @@
         if self.out >= (2 if limits.second_copies and terms.second_copies else 1):
             return False
         info = self.info
-        if info.effect is Effect.RETRYABLE:
+        if self.effect is Effect.RETRYABLE:
             return True
-        if earlier and info.effect is not Effect.DEDUP:
+        if earlier and self.effect is not Effect.DEDUP:
             return False
         first: int | None = None
         for e in earlier:
@@ -194,7 +197,7 @@
         for a in attempts:
             if a.outcome in NEVER_RAN:
                 continue
-            if info.effect is not Effect.DEDUP:
+            if self.effect is not Effect.DEDUP:
                 return False
             if first is None:
                 first = a.sent
@@ -215,7 +218,7 @@
 
     def may_refuse(self) -> bool:
         """Rule 2: may the client be told that a new try does no harm?"""
-        effect = self.info.effect
+        effect = self.effect
         if effect is Effect.RETRYABLE or (effect is Effect.DEDUP and self.info.group is DedupGroup.ALL):
             return True
         return not self.earlier and all(a.outcome in NEVER_RAN for a in self.attempts)
@@ -751,7 +754,7 @@
             return False
         if self._left_out(worker):
             return False
-        if worker.proofs > 1 and request.info.effect is Effect.FRAGILE and self.now < worker.risk_at:
+        if worker.proofs > 1 and request.effect is Effect.FRAGILE and self.now < worker.risk_at:
             return False  # where errors are likely, first what may be tried elsewhere afterwards
         return worker.cold_from is None or self._cold_room(worker)
 
@@ -1100,7 +1103,7 @@
     def _follow_up(self, attempt: Attempt) -> None:
         """No start note: the job waits or is lost.  Where a copy is legal, send one to free room."""
         request = attempt.request
-        if request.info.effect is Effect.FRAGILE or attempt.started or request.out > 1:
+        if request.effect is Effect.FRAGILE or attempt.started or request.out > 1:
             return
         if self.copies >= 1.0 and self.now >= self.no_room[request.cls] and self._pays(request.cls):
             worker = self._draw(request, attempt.worker, roomy=True)
--- a/tansygw/interface.py
+++ b/tansygw/interface.py
@@ -235,6 +235,7 @@
     expected_us: int = 0  # expected running time at standard speed; 0: not told
     earlier: tuple[Earlier, ...] = ()  # its attempts before this process
     terms: Terms = ANY_TERMS
+    keyed: bool = True  # dedup classes: it carries what workers know a repeat by
 
 
 Report: TypeAlias = Mapping[str, float]
