Imports without circles: [limits] is described in limits/, the parts name what they are joined to

Cause: node.py and parts.py imported each other (for types), and limits/ took its tables from operator/ above it, which imports limits/. Now durations lie in core/, the tables of [limits] in limits/records.py, and parts.py names what it needs of the node as a protocol.

--- a/measure/limits_cost.py
+++ b/measure/limits_cost.py
@@ -22,9 +22,9 @@
 from rushsaddle.core.loop import Clock, Coroutine, Loop, Wait
 from rushsaddle.limits.build import Shape, build, shape_of
 from rushsaddle.limits.gate import Counters, Permit
+from rushsaddle.limits.records import Limits
 from rushsaddle.node import GC
 from rushsaddle.operator.load import read_with_source
-from rushsaddle.operator.records import Limits
 from rushsaddle.parts import Reader, Settled
 from tansygw.interface import Settings
 from tansygw.settings import settings_from
--- /dev/null
+++ b/rushsaddle/core/durations.py
@@ -0,0 +1,24 @@
+"""Durations as operators write them."""
+
+from __future__ import annotations
+
+import re
+
+UNITS = {"us": 1, "ms": 1_000, "s": 1_000_000, "m": 60_000_000, "h": 3_600_000_000, "d": 86_400_000_000}
+DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)\s*(us|ms|s|m|h|d)")
+
+Duration = str | float | int
+
+
+def duration_us(value: Duration) -> int:
+    """Microseconds of "250ms", "5s", "2h" or plain seconds; raises ValueError."""
+    if isinstance(value, str):
+        found = DURATION.fullmatch(value.strip())
+        if found is None:
+            raise ValueError(f"{value!r} is not a duration such as \"250ms\", \"5s\" or \"2h\"")
+        us = float(found[1]) * UNITS[found[2]]
+    else:
+        us = float(value) * 1e6
+    if not 0 < us <= 366 * UNITS["d"]:
+        raise ValueError(f"{value!r} is not between 0 and a year")
+    return int(us)
--- a/rushsaddle/limits/build.py
+++ b/rushsaddle/limits/build.py
@@ -16,11 +16,12 @@
 
 from tansygw.interface import Effect, RequestClass, Settings, Terms
 
-from ..operator.records import Limits, LimitTable, RouteTable, duration_us
+from ..core.durations import duration_us
 from .adaptive import Adaptive
 from .budget import RetryBudget
 from .gate import Counters, Gate, Key, Rule, Target
 from .rate import Rate
+from .records import Limits, LimitTable, RouteTable
 from .routes import OddPath, Routes, segments
 from .values import Bounds, Values
 
--- a/rushsaddle/operator/explain.py
+++ b/rushsaddle/operator/explain.py
@@ -5,9 +5,10 @@
 from tansygw.interface import RequestClass, Settings
 
 from ..limits.build import problems, settings_of, values_of
+from ..limits.records import Limits
 from ..limits.routes import OddPath, Routes
 from .load import OperatorError, Source, read_with_source
-from .records import Limits, Operator
+from .records import Operator
 
 
 class ExplainError(ValueError):
--- a/rushsaddle/operator/load.py
+++ b/rushsaddle/operator/load.py
@@ -17,9 +17,10 @@
 
 import msgspec
 
+from ..core.durations import duration_us
 from .lines import Path as Key
 from .lines import lines_of
-from .records import DURATIONS, SECTIONS, VERSION, Operator, duration_us
+from .records import DURATIONS, SECTIONS, VERSION, Operator
 
 PREFIX = "RUSHSADDLE_"
 FILE_VARIABLE = "RUSHSADDLE_OPERATOR"
--- a/rushsaddle/parts.py
+++ b/rushsaddle/parts.py
@@ -10,32 +10,48 @@
 from collections.abc import Callable
 from contextlib import suppress
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from tansygw.interface import Settings
 
+from .config import Config
+from .core.decider import Decider
+from .core.durations import duration_us
+from .core.log import Log
 from .core.loop import Coroutine, Loop, Wait
 from .core.transaction import Transaction
 from .limits.build import Shape, shape_of
+from .limits.records import Limits
 from .limits.service import Limiter
+from .net.caller import Callers
 from .net.desk import WaitDesk
 from .net.jobs import HttpFront
 from .operator.explain import fit
 from .operator.load import OperatorError, Source
-from .operator.records import Limits, Operator, duration_us
+from .operator.records import Operator
 from .operator.records import Waiting as Section
 from .waiting.service import Waiting
 from .waiting.store import Store, StoreError
 from .waiting.ticket import Rules
 
-if TYPE_CHECKING:
-    from .node import Node
-
-
 USUAL_S = sys.getswitchinterval()
 SHORT_S = 0.0005  # while a file is read the loop must get its turn back soon
 
 
+class Whole(Protocol):
+    """What these parts are joined to: the node, as far as they know of it."""
+
+    told: Config
+    loop: Loop
+    log: Log
+    decider: Decider
+    callers: Callers
+    settle: Callable[[], tuple[Operator, Source] | None]
+    operator: Operator | None
+    waiting: Waiting | None
+    limiter: Limiter | None
+
+
 def rules_of(section: Section) -> Rules:
     return Rules(
         section.most, section.pace, section.reserve, duration_us(section.longest),
@@ -43,7 +59,7 @@
     )
 
 
-def waiting_part(node: Node, section: Section) -> Waiting:
+def waiting_part(node: Whole, section: Section) -> Waiting:
     """Jobs that wait, joined to a node; raises OperatorError where the store cannot be used."""
     if "jobs" in node.told.class_names:
         raise OperatorError(["waiting.enabled: a class is named 'jobs', whose path is needed"])
@@ -82,7 +98,7 @@
     thread.
     """
 
-    def __init__(self, node: Node, done: Callable[[Settled | OperatorError], None]) -> None:
+    def __init__(self, node: Whole, done: Callable[[Settled | OperatorError], None]) -> None:
         self._node = node
         self._done = done
         self._again = False
@@ -131,7 +147,7 @@
                 self.read()
 
 
-def limit_part(node: Node, shape: Shape) -> Limiter:
+def limit_part(node: Whole, shape: Shape) -> Limiter:
     """Limits by class and route, joined to a node."""
     limiter = Limiter(node.loop.now_us, node.log, node.told.settings, shape)
     node.callers.limiter = limiter
@@ -148,7 +164,7 @@
     return limiter
 
 
-def take(node: Node, settled: Settled) -> list[str]:
+def take(node: Whole, settled: Settled) -> list[str]:
     """The settings as they are now, all at once; what waits for the next start."""
     operator, old = settled.operator, node.operator
     node.operator = operator
@@ -165,7 +181,7 @@
     return [key for key, (was, now) in pairs.items() if was != now]
 
 
-def take_waiting(node: Node, section: Section) -> None:
+def take_waiting(node: Whole, section: Section) -> None:
     """What can be changed without a restart.  Jobs that wait beyond a lower bound stay."""
     waiting, desk = node.waiting, node.callers.desk
     if waiting is None or not isinstance(desk, WaitDesk):
--- a/tests/limits/test_gate.py
+++ b/tests/limits/test_gate.py
@@ -12,7 +12,7 @@
 
 from rushsaddle.limits.build import build, problems, shape_of, values_of
 from rushsaddle.limits.gate import Counters, Gate, Limit, Permit, Refusal
-from rushsaddle.operator.records import Limits
+from rushsaddle.limits.records import Limits
 from tansygw.interface import (
     AttemptEnded,
     DedupGroup,
--- a/tests/operator/test_load.py
+++ b/tests/operator/test_load.py
@@ -8,8 +8,10 @@
 
 import pytest
 
+from rushsaddle.core.durations import duration_us
+from rushsaddle.limits.records import Limits, LimitTable
 from rushsaddle.operator.load import OperatorError, read
-from rushsaddle.operator.records import SECTIONS, Limits, LimitTable, Operator, duration_us
+from rushsaddle.operator.records import SECTIONS, Operator
 
 from ..play import ROOT
 
