--- /dev/null
+++ b/measure/members.py
@@ -0,0 +1,208 @@
+"""Members of a fleet in virtual time: how soon a dead one is found, who is wrongly taken for dead, bytes.
+
+    python -m measure.members [--sizes 20 60 200] [--seeds 5] [--loss 0.05] [--chart FILE] [--json FILE]
+
+Each run joins all members by three seeds, then kills some, one every two seconds, and cuts nothing else.
+Datagrams take 1 to 5 ms; with ``--loss`` that share of them is lost.  The decisions are those of the program
+(``rushsaddle.fleet.members``), the bytes those of its codec.
+"""
+
+from __future__ import annotations
+
+import argparse
+import heapq
+import json
+import statistics
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from rushsaddle.fleet.members import Members, Out, Rules
+from rushsaddle.fleet.wire import State, encode
+
+SECOND = 1_000_000
+KEY = b"sixteen bytes or more"
+SEEDS = 3
+KILLS = 10
+SETTLE_S = 12  # until the first is killed
+
+
+class Network:
+    """Members and the datagrams between them.  ``cut`` says which of them are lost."""
+
+    def __init__(self, size: int, seed: int, loss: float = 0.0, rules: Rules | None = None,
+                 weigh: bool = False) -> None:
+        self.random = Random(seed)
+        self.loss = loss
+        self.rules = rules or Rules()
+        self.weigh = weigh
+        self.now = 0
+        self.bytes = 0
+        self.messages = 0
+        self.cut: Callable[[str, str], bool] = lambda source, place: False
+        self.paused: dict[str, list[tuple[int, Any]]] = {}  # what waits in their sockets
+        self.members: dict[str, Members] = {}
+        self.seen: list[tuple[int, str, str, State]] = []  # time, by, of, state
+        self._queue: list[tuple[int, int, str, Any]] = []
+        self._count = 0
+        self._set: dict[str, int] = {}  # when each one's next tick is set for
+        self.seeds = [self.place(n) for n in range(SEEDS)]
+        for n in range(size):
+            self.start(self.place(n))
+
+    @staticmethod
+    def place(n: int) -> str:
+        return f"10.0.{n // 250}.{n % 250 + 1}:7400"
+
+    def start(self, place: str) -> None:
+        born = 1_000_000 + self.now // 1000
+        self.members[place] = Members(
+            place, born, self.seeds, self.rules, Random(self.random.getrandbits(64)), self.now
+        )
+        self._set[place] = -1
+        self._at(self.now + self.random.randrange(SECOND // 4), place, None)
+
+    def kill(self, place: str) -> None:
+        del self.members[place]
+
+    def pause(self, place: str) -> None:
+        self.paused[place] = []
+
+    def resume(self, place: str) -> None:
+        for _, message in self.paused.pop(place):
+            self._at(self.now, place, message)
+        self._at(self.now + 1, place, None)
+
+    def _at(self, time: int, place: str, message: Any) -> None:
+        self._count += 1
+        heapq.heappush(self._queue, (time, self._count, place, message))
+
+    def run(self, seconds: float) -> None:
+        until = self.now + int(seconds * SECOND)
+        while self._queue and self._queue[0][0] <= until:
+            time, _, place, message = heapq.heappop(self._queue)
+            self.now = max(self.now, time)
+            if place in self.paused:
+                self.paused[place].append((time, message))
+                continue
+            member = self.members.get(place)
+            if member is None:
+                continue
+            if message is not None:
+                self._send(place, member.hear(self.now, message))
+            elif self.now >= member.due_us:
+                self._send(place, member.tick(self.now))
+            self.seen += [(self.now, place, change.place, change.now) for change in member.changes]
+            member.changes.clear()
+            if self._set[place] != member.due_us:
+                self._set[place] = member.due_us
+                self._at(member.due_us, place, None)
+        self.now = until
+
+    def _send(self, source: str, out: list[Out]) -> None:
+        for place, message in out:
+            self.messages += 1
+            if self.weigh:
+                self.bytes += len(encode(KEY, message))
+            if self.random.random() >= self.loss and not self.cut(source, place):
+                self._at(self.now + self.random.randrange(1_000, 5_000), place, message)
+
+    def knows(self, place: str, state: State) -> int:
+        """How many of the others hold that one for this."""
+        return sum(m.state_of(place) is state for p, m in self.members.items() if p != place)
+
+
+def one(size: int, seed: int, loss: float) -> dict[str, Any]:
+    network = Network(size, seed, loss)
+    joined = float("inf")
+    while network.now < SETTLE_S * SECOND:
+        network.run(0.1)
+        if joined == float("inf") and all(m.size == size for m in network.members.values()):
+            joined = network.now / SECOND
+    network.weigh, network.bytes, network.messages = True, 0, 0
+    quiet = 5.0
+    network.run(quiet)
+    rate, network.weigh = network.bytes / quiet / size, False
+    killed: dict[str, int] = {}
+    for place in network.random.sample(sorted(network.members)[SEEDS:], KILLS):
+        killed[place] = network.now
+        network.kill(place)
+        network.run(2.0)
+    network.run(15.0)
+    wrong = sum(
+        state is State.DEAD and not (of in killed and when >= killed[of])
+        for when, _, of, state in network.seen
+    )
+    # Those that were killed later find some of the dead, too; who is left must find all of them.
+    left = [
+        (when - killed[of]) / SECOND for when, by, of, state in network.seen
+        if state is State.DEAD and of in killed and when >= killed[of] and by in network.members
+    ]
+    to_find = len(network.members) * KILLS
+    found = sorted(left) + [float("inf")] * (to_find - len(left))
+    return {
+        "members": size, "loss": loss, "seed": seed, "joined_s": joined, "bytes_s": rate,
+        "found_median_s": statistics.median(found), "found_99_s": found[int(0.99 * len(found))],
+        "found": len(left), "to_find": to_find, "wrong": wrong,
+    }
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--sizes", type=int, nargs="+", default=[20, 60, 200])
+    parser.add_argument("--seeds", type=int, default=5)
+    parser.add_argument("--losses", type=float, nargs="+", default=[0.0, 0.05])
+    parser.add_argument("--chart")
+    parser.add_argument("--json")
+    told = parser.parse_args()
+    rows: list[dict[str, Any]] = []
+    print("| members | loss | joined, s | found, median s | found, 99 in 100, s | found | "
+          "wrongly dead | bytes/s |")
+    print("| --- | --- | --- | --- | --- | --- | --- | --- |")
+    for size in told.sizes:
+        for loss in told.losses:
+            new = [one(size, seed, loss) for seed in range(told.seeds)]
+            rows += new
+
+            def spread(key: str, of: list[dict[str, Any]] = new) -> str:
+                values = [row[key] for row in of]
+                return f"{statistics.median(values):.2f} ({min(values):.2f} to {max(values):.2f})"
+
+            found = sum(row["found"] for row in new) / sum(row["to_find"] for row in new)
+            print(f"| {size} | {loss:g} | {spread('joined_s')} | {spread('found_median_s')} | "
+                  f"{spread('found_99_s')} | {found:.1%} | {sum(row['wrong'] for row in new)} | "
+                  f"{spread('bytes_s')} |", flush=True)
+    if told.json:
+        Path(told.json).write_text(json.dumps(rows) + "\n")
+    if told.chart:
+        draw(rows, told.chart)
+    return 0
+
+
+def draw(rows: list[dict[str, Any]], file: str) -> None:
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(1, 2, figsize=(9, 3.5))
+    for loss in sorted({row["loss"] for row in rows}):
+        chosen = [row for row in rows if row["loss"] == loss]
+        sizes = sorted({row["members"] for row in chosen})
+        for axis, key in zip(axes, ("found_99_s", "bytes_s"), strict=True):
+            values = [[row[key] for row in chosen if row["members"] == size] for size in sizes]
+            middle = [statistics.median(v) for v in values]
+            low = [m - min(v) for m, v in zip(middle, values, strict=True)]
+            high = [max(v) - m for m, v in zip(middle, values, strict=True)]
+            axis.errorbar(sizes, middle, yerr=[low, high], marker="o", label=f"loss {loss:g}")
+    axes[0].set_ylabel("99 in 100 know of a dead member, s")
+    axes[1].set_ylabel("bytes a second and member")
+    for axis in axes:
+        axis.set_xlabel("members")
+        axis.set_ylim(bottom=0)
+        axis.legend(loc="lower right")
+    figure.tight_layout()
+    figure.savefig(file, dpi=120)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/measure/rig.py
+++ b/measure/rig.py
@@ -7,6 +7,7 @@
 import os
 import re
 import resource
+import signal
 import subprocess
 import sys
 import time
@@ -38,11 +39,11 @@
     resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
 
 
-def configure(folder: Path, discovery: str, sockets: int, listen: str = "127.0.0.1:0") -> None:
-    """The file that a node is told of; its senders it hears from discovery."""
+def configure(folder: Path, discovery: str, sockets: int, listen: str = "127.0.0.1:0", **more: Any) -> None:
+    """The file that a node is told of; its senders it hears from discovery.  ``more`` are further keys."""
     (folder / "config.json").write_text(json.dumps({
         "name": "n0", "listen": listen, "seed": "1f", "limits": {"sockets": sockets}, "discovery": discovery,
-        "settings": SETTINGS, "known": {"rev": 0, "all": True, "targets": []},
+        "settings": SETTINGS, "known": {"rev": 0, "all": True, "targets": []}, **more,
     }))
 
 
@@ -61,11 +62,13 @@
 
 class Senders:
     def __init__(self, folder: Path, count: int, slots: int, queue: int = 8, report_s: float = 0.7,
-                 silent: list[dict[str, float]] | None = None) -> None:
+                 silent: list[dict[str, float]] | None = None, **more: Any) -> None:
+        self.folder = folder
         self.audit = folder / "audit.json"
         told = {
             "senders": [{"slots": slots, "speed": 1.0, "cell": n // 3} for n in range(count)], "queue": queue,
             "report_s": report_s, "audit": str(self.audit), "silent": silent or [],
+            "calls": str(folder / "calls.json"), **more,
         }
         (folder / "senders.json").write_text(json.dumps(told))
         self.process = subprocess.Popen(
@@ -82,22 +85,28 @@
         runs: list[list[Any]] = json.loads(self.audit.read_text())
         return runs
 
+    def calls(self) -> list[list[Any]]:
+        """After the end, each call for the list: [time, for a whole list, given up by its caller]."""
+        found: list[list[Any]] = json.loads((self.folder / "calls.json").read_text())
+        return found
+
 
 class Node:
     def __init__(
         self, folder: Path, discovery: str, operator: Mapping[str, str], sockets: int = 4096,
-        tree: Path | None = None,
+        tree: Path | None = None, begin: bool = True, **more: Any,
     ) -> None:
         self.tree = tree  # run from this checkout instead of the present one
         self.folder = folder
         self.operator = dict(operator)
         self.port = 0
         self.starts = 0
-        configure(folder, discovery, sockets)
-        self.start()
+        configure(folder, discovery, sockets, **more)
+        if begin:
+            self.start()
 
-    def start(self) -> float:
-        """Seconds until it was ready."""
+    def begin(self) -> None:
+        """Start the process, without waiting for it."""
         env = environment(self.folder / "config.json") | self.operator
         if self.tree is not None:
             env["PYTHONPATH"] = str(self.tree)
@@ -105,11 +114,15 @@
             env["GW_LISTEN"] = f"127.0.0.1:{self.port}"
         self.starts += 1
         self.log = self.folder / f"log-{self.starts}"
-        began = time.monotonic()
         with open(self.log, "wb") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "rushsaddle"], cwd=self.tree, env=env, stdout=log, stderr=log
             )
+
+    def start(self) -> float:
+        """Seconds until it was ready."""
+        began = time.monotonic()
+        self.begin()
         while (found := re.search(r'"ready","listen":"127.0.0.1:(\d+)"', self.log.read_text())) is None:
             if self.process.poll() is not None or time.monotonic() > began + PATIENCE:
                 raise RuntimeError(f"the node did not start: {self.log.read_text()[-500:]}")
@@ -135,6 +148,12 @@
     def memory_mb(self) -> float:
         return memory_mb(self.process.pid)
 
+    def pause(self) -> None:
+        self.process.send_signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        self.process.send_signal(signal.SIGCONT)
+
     def kill(self) -> None:
         self.process.kill()
         self.process.wait()
@@ -144,6 +163,53 @@
         return self.process.wait(PATIENCE)
 
 
+class Fleet:
+    """Nodes that know of each other, each in a folder of its own; none is started yet.
+
+    ``own`` are their members' addresses, none where members are off; ``told`` what they tell others instead.
+    ``discovery`` is one service, or one for each; ``known`` the lists that some have from before.
+    """
+
+    def __init__(
+        self, folder: Path, count: int, discovery: str | list[str], own: list[str],
+        told: list[str] | None = None, tree: Path | None = None, group: int = 0,
+        known: Mapping[int, Any] | None = None,
+    ) -> None:
+        self.own = own
+        self.told = told or own
+        self.key = b"a key that is only for this rig"
+        key_file = folder / "fleet.key"
+        key_file.write_bytes(self.key)
+        settings = {**SETTINGS, "GroupSize": group or count}
+        self.nodes = []
+        for n in range(count):
+            place = folder / f"n{n}"
+            place.mkdir()
+            operator = {}
+            if own:
+                operator = {"ENABLED": "true", "LISTEN": own[n], "SEEDS": json.dumps(self.told[:3]),
+                            "KEY_FILE": str(key_file), "TOLD": self.told[n]}
+            more: dict[str, Any] = {"name": f"n{n}", "settings": settings, "seed": f"{n + 1:x}"}
+            if known is not None and n in known:
+                more["known"] = known[n]
+            service = discovery if isinstance(discovery, str) else discovery[n]
+            set_by = {f"RUSHSADDLE_FLEET__{key}": value for key, value in operator.items()}
+            self.nodes.append(Node(place, service, set_by, 512, tree, False, **more))
+
+    def known(self) -> float:
+        """How many members each has heard of since its start, on average."""
+        heard = [{e["place"] for e in node.events("member")} for node in self.nodes]
+        return sum(map(len, heard)) / len(heard)
+
+    def stop(self) -> None:
+        """End every process that was begun, at once and by its id."""
+        begun = [node.process for node in self.nodes if node.starts]
+        for process in begun:
+            process.kill()
+        for process in begun:
+            process.wait(PATIENCE)
+
+
 @dataclass(slots=True)
 class Reply:
     """``at`` and ``sent`` are Unix seconds; status 0: the connection broke."""
--- a/measure/standin.py
+++ b/measure/standin.py
@@ -3,8 +3,9 @@
     python -m measure.standin FILE
 
 FILE is JSON: ``senders`` ([{"slots", "speed", "cell", "zone"}]), ``queue``, ``report_s``, ``silent``
-([{"sender", "from_s", "to_s"}], from the first request).  The first line of output names discovery; at
-SIGTERM the audit is written as JSON to ``audit`` of FILE.
+([{"sender", "from_s", "to_s"}], from the first request), ``lists_per_s`` (calls for the list a second,
+taken in turn; 0: no bound), ``lists_from_s`` (until then calls are closed).  The first line of output names
+discovery; at SIGTERM the audit is written as JSON to ``audit`` of FILE.
 """
 
 from __future__ import annotations
@@ -49,6 +50,9 @@
         self.began: float | None = None
         self.runs: list[tuple[float, str, str, int, str]] = []  # time, id, class, sender, what
         self.legs = 0
+        self.since = time.monotonic()
+        self.turn = asyncio.Lock()  # of the list service: one call at a time
+        self.calls: list[tuple[float, bool, bool]] = []  # time, for a whole list, given up by its caller
 
     def note(self, name: str, cls: str, sender: int, what: str) -> None:
         self.runs.append((time.time(), name, cls, sender, what))
@@ -176,11 +180,23 @@
         self.transport.write(b"%x\r\n%s\r\n0\r\n\r\n" % (len(line), line))
 
 
-async def discover(targets: list[dict[str, Any]], reader: asyncio.StreamReader, writer: Any) -> None:
+async def discover(
+    world: World, targets: list[dict[str, Any]], reader: asyncio.StreamReader, writer: Any
+) -> None:
+    """One call for the list.  Its turn is spent on it even where the caller has gone meanwhile."""
+    told, came = world.told, time.time()
     try:
-        await reader.readuntil(b"\r\n\r\n")
+        head = await reader.readuntil(b"\r\n\r\n")
+        whole = b"after=1 " not in head
+        if time.monotonic() - world.since < told.get("lists_from_s", 0.0):
+            world.calls.append((came, whole, False))
+            return
+        if per_s := told.get("lists_per_s", 0.0):
+            async with world.turn:
+                await asyncio.sleep(1 / per_s)
+        world.calls.append((came, whole, reader.at_eof()))
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-        line = json.dumps({"rev": 1, "all": True, "targets": targets}).encode() + b"\n"
+        line = json.dumps({"rev": 1, "all": whole, "targets": targets if whole else []}).encode() + b"\n"
         while True:
             writer.write(b"%x\r\n%s\r\n" % (len(line), line))
             await writer.drain()
@@ -205,7 +221,9 @@
             "uid": f"s-{n}", "endpoint": f"{host}:{port}", "az": entry.get("zone", "north"), "model": "box",
             "pod_group": entry.get("cell", n // 3), "state": "ready", "capacity_hint": 1.0, "boot_ms": 0,
         })
-    finder = await asyncio.start_server(lambda r, w: discover(targets, r, w), "127.0.0.1", 0)
+    finder = await asyncio.start_server(
+        lambda r, w: discover(world, targets, r, w), "127.0.0.1", 0, backlog=512
+    )
     host, port = finder.sockets[0].getsockname()[:2]
     print(f"{host}:{port}", flush=True)
     stop = asyncio.Event()
@@ -213,6 +231,8 @@
     await stop.wait()
     with open(told["audit"], "w") as file:
         json.dump(world.runs, file)
+    if "calls" in told:
+        Path(told["calls"]).write_text(json.dumps(world.calls))
 
 
 if __name__ == "__main__":
--- a/rushsaddle/cli.py
+++ b/rushsaddle/cli.py
@@ -11,6 +11,7 @@
 
 from tansygw.interface import Settings
 
+from .cli_fleet import fleet
 from .cli_jobs import JobsError, Running, fail, jobs
 from .operator.explain import checked
 from .operator.load import (
@@ -209,3 +210,4 @@
 
 
 command.add_command(jobs)
+command.add_command(fleet)
--- /dev/null
+++ b/rushsaddle/fleet/service.py
@@ -0,0 +1,335 @@
+"""The members' socket and the calls for lists: what ``members`` and ``shelf`` decide, carried out.
+
+One UDP socket and one TCP listener at the same address.  A list is fetched by ``GET /list/NUMBER``, by
+whoever hears of a newer one, from whoever told of it, one fetch at a time: nobody is flooded with lists.  The
+answer is sealed with the fleet's key and bound to the number, so that an old one cannot be played back.
+"""
+
+from __future__ import annotations
+
+import select
+import socket
+import zlib
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from random import Random
+from typing import Any
+
+import h11
+import msgspec
+import orjson
+
+from ..core.log import Log
+from ..core.loop import Coroutine, Loop, Task, Wait
+from ..core.names import Address, address
+from ..net.http import Stream
+from .members import Members, Out, Rules
+from .shelf import Shelf
+from .wire import MESSAGE_MOST, Message, Stamp, decode, encode, opened, sealed, tag
+
+READ_MOST = 64  # datagrams in one wake: a flood must not hold up the loop
+SERVES_MOST = 16  # lists handed out at once; others find another member
+SERVE_US = 1_000_000  # a list is fetched, or handed out, within this
+AGAIN_US = 1_000_000  # the address may be held by a process that is being replaced: it is tried again
+LIST_MOST = 4 * 1024 * 1024  # bytes of one list, as of the service's own
+AVOID_US = 1_000_000  # who gave nothing good is not asked again for so long: it must not keep us busy
+AVOID_MOST = 64
+
+
+@dataclass(slots=True, frozen=True)
+class Where:
+    """``listen`` is bound, ``told`` is what others are told instead, where there is something between."""
+
+    listen: Address
+    told: str | None
+    seeds: tuple[str, ...]
+    key: bytes
+    rules: Rules
+
+
+class Passed(msgspec.Struct, array_like=True, frozen=True):
+    """A list on its way: the number of the call, its stamp, and its JSON, compressed."""
+
+    number: int
+    stamp: Stamp
+    packed: bytes
+
+
+class BadList(Exception):
+    """Why a list that was passed on is not taken."""
+
+
+def pack(key: bytes, number: int, stamp: Stamp, whole: Mapping[str, Any]) -> bytes:
+    return sealed(key, msgspec.msgpack.encode(Passed(number, stamp, zlib.compress(orjson.dumps(whole), 1))))
+
+
+def unpack(key: bytes, number: int, data: bytes) -> tuple[Stamp, dict[str, Any]]:
+    """The list; raises BadList for what is torn, too long, another call's, or not sealed with the key."""
+    body = opened(key, data)
+    if body is None:
+        raise BadList("not sealed with the fleet's key")
+    try:
+        passed = msgspec.msgpack.decode(body, type=Passed)
+        if passed.number != number:
+            raise BadList("the answer to another call")
+        inflate = zlib.decompressobj()
+        text = inflate.decompress(passed.packed, LIST_MOST)
+        if not inflate.eof:
+            raise BadList("too long, or cut off")
+        fields = orjson.loads(text)
+    except (msgspec.DecodeError, msgspec.ValidationError, zlib.error, orjson.JSONDecodeError) as error:
+        raise BadList(str(error)) from None
+    if not isinstance(fields, dict):
+        raise BadList("not an object")
+    return passed.stamp, fields
+
+
+class Fleet:
+    """``take`` is given a list that is newer than ours and the place that it came from; it raises where the
+    list makes no sense, and then nothing is changed."""
+
+    def __init__(
+        self, loop: Loop, log: Log, where: Where, shelf: Shelf, check: Callable[[Any], Any],
+        take: Callable[[Any, str], None], draw: Random, patience_us: int,
+    ) -> None:
+        self.loop = loop
+        self.log = log
+        self.where = where
+        self.shelf = shelf
+        self.check = check
+        self.take = take
+        self.draw = draw
+        self.patience_us = patience_us  # a node without a list waits so long before it takes callers
+        self.members: Members | None = None
+        self.pulls = self.pulls_failed = self.strangers = 0
+        self._sock: socket.socket | None = None
+        self._beat_task: Task | None = None
+        self._pulling = False
+        self._avoid: dict[str, int] = {}  # until when, by place
+        self._serving = 0
+
+    def start(self) -> None:
+        self.loop.spawn(self._run())
+
+    def listed(self) -> bool:
+        """There is a list to serve by, whoever told it."""
+        return self.shelf.have
+
+    def leave(self) -> None:
+        """Tell some members that this one ends on purpose."""
+        if self.members is not None:
+            self._send(self.members.leave())
+
+    def _run(self) -> Coroutine[None]:
+        """The one owner of both sockets."""
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        datagrams = socket.socket(socket.AF_INET, socket.SOCK_DGRAM | socket.SOCK_NONBLOCK)
+        try:
+            yield from self._bound(listener, datagrams)
+            host, port = listener.getsockname()
+            me = self.where.told or f"{host}:{port}"
+            now = self.loop.now_us()
+            members = self.members = Members(
+                me, now // 1000, self.where.seeds, self.where.rules, self.draw, now
+            )
+            self._sock = datagrams
+            self.log.event("members", listen=f"{host}:{port}", me=me, seeds=len(members.seeds))
+            self.loop.spawn(self._accept(listener))
+            self._beat_task = self.loop.spawn(self._beat(members))
+            while True:
+                yield Wait(datagrams.fileno(), select.EPOLLIN)
+                self._read(datagrams, members)
+        finally:
+            self._sock = None
+            datagrams.close()
+            listener.close()
+
+    def _bound(self, listener: socket.socket, datagrams: socket.socket) -> Coroutine[None]:
+        """Both at one address; a port that the system chooses for one may be taken for the other."""
+        failed = False
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        host, port = self.where.listen
+        bound = False
+        while True:
+            try:
+                if not bound:
+                    listener.bind((host, port))
+                    bound = True
+                datagrams.bind(listener.getsockname())
+                listener.listen(SERVES_MOST)
+                return
+            except OSError as error:
+                if not failed:
+                    self.log.error("no members yet", error)
+                failed = True
+            until = self.loop.now_us() + AGAIN_US
+            while self.loop.now_us() < until:
+                yield Wait(until_us=until)
+
+    # ------------------------------------------------------------ datagrams
+
+    def _beat(self, members: Members) -> Coroutine[None]:
+        while True:
+            now = self.loop.now_us()
+            if now >= members.due_us:
+                members.stamp = self.shelf.stamp
+                self._send(members.tick(now))
+                self._tell(members)
+            yield Wait(until_us=members.due_us)
+
+    def _read(self, sock: socket.socket, members: Members) -> None:
+        due = members.due_us
+        for _ in range(READ_MOST):
+            try:
+                data, _ = sock.recvfrom(MESSAGE_MOST + 1)
+            except BlockingIOError:
+                break
+            except OSError:  # an earlier datagram's refusal is told on the next call
+                continue
+            message = decode(self.where.key, data)
+            if message is None:
+                self.strangers += 1
+                continue
+            now = self.loop.now_us()
+            members.stamp = self.shelf.stamp
+            self._send(members.hear(now, message))
+            self._look(now, message)
+        self._tell(members)
+        if members.due_us < due and self._beat_task is not None:
+            self.loop.wake(self._beat_task)
+
+    def _send(self, out: list[Out]) -> None:
+        """What the socket does not take at once is lost, as on the way."""
+        for place, message in out:
+            if self._sock is None:
+                return
+            try:
+                self._sock.sendto(encode(self.where.key, message), address(place))
+            except (OSError, ValueError):
+                continue
+
+    def _tell(self, members: Members) -> None:
+        for change in members.changes:
+            before = None if change.before is None else change.before.name.lower()
+            self.log.event("member", place=change.place, before=before, now=change.now.name.lower())
+        members.changes.clear()
+
+    # ------------------------------------------------------------ lists
+
+    def _look(self, now: int, message: Message) -> None:
+        if self._pulling or now < self._avoid.get(message.source, 0):
+            return
+        if self.shelf.wants(now, message.stamp):
+            self._pulling = True
+            self.loop.spawn(self._pull(message.source))
+
+    def _pull(self, place: str) -> Coroutine[None]:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        stream = Stream(self.loop, sock, h11.CLIENT)
+        try:
+            self.pulls += 1
+            number = self.draw.getrandbits(60)
+            stamp, fields = unpack(self.where.key, number, (yield from self._fetch(stream, place, number)))
+            self.check(fields)
+            if self.shelf.take(self.loop.now_us(), stamp, fields):
+                self.take(fields, place)
+        except (OSError, h11.ProtocolError, BadList, KeyError, TypeError, ValueError) as error:
+            self.pulls_failed += 1
+            if len(self._avoid) >= AVOID_MOST:
+                self._avoid.clear()
+            self._avoid[place] = self.loop.now_us() + AVOID_US
+            self.log.error("list not passed on", error, member=place)
+        finally:
+            self._pulling = False
+            stream.close()
+
+    def _fetch(self, stream: Stream, place: str, number: int) -> Coroutine[bytes]:
+        until = self.loop.now_us() + SERVE_US
+        stream.sock.connect_ex(address(place))
+        while not (yield Wait(stream.sock.fileno(), select.EPOLLOUT, until)):
+            if self.loop.now_us() >= until:
+                raise TimeoutError("no connection in time")
+        target = f"/list/{number}"
+        seal = tag(self.where.key, target.encode()).hex()
+        stream.put([
+            h11.Request(method="GET", target=target, headers=[("Host", "member"), ("X-Seal", seal)]),
+            h11.EndOfMessage(),
+        ])
+        if not (yield from stream.flush(until)):
+            raise TimeoutError("not asked in time")
+        body = bytearray()
+        while not isinstance(event := (yield from stream.next_event(until)), h11.EndOfMessage):
+            if event is None or isinstance(event, h11.ConnectionClosed):
+                raise TimeoutError("no list in time")
+            if isinstance(event, h11.Response) and event.status_code != 200:
+                raise ConnectionError(f"status {event.status_code}")
+            if isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > LIST_MOST:
+                    raise BadList("too long")
+        return bytes(body)
+
+    def _accept(self, listener: socket.socket) -> Coroutine[None]:
+        while True:
+            yield Wait(listener.fileno(), select.EPOLLIN)
+            try:
+                sock, _ = listener.accept()
+            except OSError:  # it ended in the backlog, or there is no descriptor: not at once again
+                yield Wait(until_us=self.loop.now_us() + SERVE_US // 20)
+                continue
+            sock.setblocking(False)
+            if self._serving >= SERVES_MOST:
+                sock.close()
+                continue
+            self._serving += 1
+            self.loop.spawn(self._serve(sock))
+
+    def _serve(self, sock: socket.socket) -> Coroutine[None]:
+        stream = Stream(self.loop, sock, h11.SERVER)
+        until = self.loop.now_us() + SERVE_US
+        try:
+            event = yield from stream.next_event(until)
+            if isinstance(event, h11.Request):
+                status, body = self._answer(event)
+                headers = [("Content-Length", str(len(body))), ("Connection", "close")]
+                head = h11.Response(status_code=status, headers=headers)
+                stream.put([head, h11.Data(data=body), h11.EndOfMessage()])
+                if (yield from stream.flush(until)):
+                    yield from stream.linger()
+        except (OSError, h11.ProtocolError):
+            pass  # whoever asked is gone, or speaks something else
+        finally:
+            self._serving -= 1
+            stream.close()
+
+    def _answer(self, request: h11.Request) -> tuple[int, bytes]:
+        target = bytes(request.target)
+        seal = dict(request.headers).get(b"x-seal", b"")
+        if seal != tag(self.where.key, target).hex().encode():
+            self.strangers += 1
+            return 403, b""
+        what, _, number = target.decode("latin-1").removeprefix("/").partition("/")
+        stamp = self.shelf.stamp
+        if what == "members":
+            return 200, sealed(self.where.key, orjson.dumps(self.told()))
+        if what != "list" or not (number.isascii() and number.isdigit() and len(number) < 20):
+            return 404, b""
+        if stamp is None:
+            return 409, b""
+        return 200, pack(self.where.key, int(number), stamp, self.shelf.whole())
+
+    def told(self) -> dict[str, Any]:
+        """Members as this one knows them, for people and programs."""
+        members, stamp = self.members, self.shelf.stamp
+        if members is None:
+            return {"me": None, "members": []}
+        return {
+            "me": members.me, "incarnation": members.incarnation, "health": members.health,
+            "list": None if stamp is None else [stamp.service, stamp.era, stamp.rev],
+            "direct": self.shelf.direct, "fetched": self.pulls, "failed": self.pulls_failed,
+            "strangers": self.strangers, "members": [
+                {"place": m.place, "state": m.state.name.lower(), "incarnation": m.incarnation,
+                 "list": None if m.stamp is None else [m.stamp.service, m.stamp.era, m.stamp.rev]}
+                for m in sorted(members.others.values(), key=lambda m: m.place)
+            ],
+        }
--- a/rushsaddle/net/discovery.py
+++ b/rushsaddle/net/discovery.py
@@ -6,7 +6,7 @@
 import socket
 from collections.abc import Callable
 from math import inf
-from typing import Any
+from typing import Any, Protocol
 
 import h11
 import orjson
@@ -37,6 +37,25 @@
     return AGAIN_LEAST_US + int(draw * (most - AGAIN_LEAST_US))
 
 
+class Follower(Protocol):
+    """Whoever keeps the list as the service tells it, to pass it on."""
+
+    def saved(self, fields: Any) -> None:
+        """What was known before this start."""
+
+    def asked(self) -> None:
+        """A call for the list begins."""
+
+    def told(self, fields: Any, whole: bool) -> bool:
+        """The service has told this; False where it is older than what came meanwhile."""
+
+    def broke(self) -> None:
+        """The call has ended."""
+
+    def moved(self, service: str) -> None:
+        """Another service counts from now on."""
+
+
 class Discovery:
     def __init__(
         self, loop: Loop, log: Log, put: Callable[[Event], None], hops: NextHops, names: Names,
@@ -51,6 +70,7 @@
         self.connect_timeout_us = connect_timeout_us
         self.draw = draw  # from 0 to 1, each node its own
         self.pushed = pushed  # the list comes unasked: there is always a watch, and it costs nobody anything
+        self.follower: Follower | None = None
         self.version = 0
         self._failed = 0  # calls in a row, since the service was replaced
         self._owed = 0  # calls without an answer
@@ -82,6 +102,8 @@
         if address != self.address:
             self.address = address
             self._moves += 1
+            if self.follower is not None:
+                self.follower.moved(f"{address[0]}:{address[1]}")
             self._failed = 0
             self._new = True
             self._hurry_until_us = self.loop.now_us() + MOVE_US
@@ -124,6 +146,8 @@
                     return
                 if self.loop.now_us() >= until:
                     raise TimeoutError("no connection in time")
+            if self.follower is not None:
+                self.follower.asked()
             target = "/v1/servers?watch=1" + ("" if self._new else f"&after={self.version}")
             request = h11.Request(method="GET", target=target, headers=[("Host", "discovery")])
             stream.put([request, h11.EndOfMessage()])
@@ -154,14 +178,25 @@
                     raise ConnectionError("the watch ended")
         finally:
             self._following = False
+            if self.follower is not None:
+                self.follower.broke()
             stream.close()
 
-    def _tell(self, fields: Any, kind: ListKind) -> None:
+    def passed_on(self, fields: Any, by: str) -> None:
+        """A whole list that another node passed on, newer than ours."""
+        self._tell(fields, ListKind.COMPLETE, by=by)
+
+    def _tell(self, fields: Any, kind: ListKind, **more: Any) -> None:
         if kind is ListKind.CHANGES and fields.get("all"):
             kind = ListKind.COMPLETE
         entries = self.names.entries(fields["targets"])
+        if self.follower is not None and not more:
+            if kind is ListKind.SAVED:
+                self.follower.saved(fields)
+            elif not self.follower.told(fields, kind is ListKind.COMPLETE):
+                raise ConnectionError("an older list than one that was passed on: asked again")
         self.version = int(fields["rev"])
         self._new = False
         self.hops.learn(kind is not ListKind.CHANGES, entries)
-        self.log.event("list", kind=kind, version=self.version, entries=len(entries))
+        self.log.event("list", kind=kind, version=self.version, entries=len(entries), **more)
         self.put(WorkerList(kind, tuple(entry for entry, _ in entries), self.version))
--- a/rushsaddle/node.py
+++ b/rushsaddle/node.py
@@ -30,6 +30,7 @@
 from .net.peers import PeerLink
 
 if TYPE_CHECKING:  # read only where an operator has set something: the platform's node stays lean
+    from .fleet.service import Fleet
     from .limits.service import Limiter
     from .operator.load import OperatorError, Source
     from .operator.records import Operator
@@ -120,6 +121,11 @@
             from .parts import waiting_part
 
             self.waiting = waiting_part(self, self.operator.waiting)
+        self.fleet: Fleet | None = None
+        if self.operator is not None and self.operator.fleet.enabled:
+            from .parts import fleet_part
+
+            self.fleet = fleet_part(self, self.operator.fleet)
         self.limiter: Limiter | None = None
         if settled is not None and settled.shape is not None:
             from .parts import limit_part
@@ -136,6 +142,8 @@
         if fd is not None and os.environ.get("TMPDIR"):
             self.takeover = self._meet(Path(os.environ["TMPDIR"]))
         self.discovery.start(told.known)
+        if self.fleet is not None:
+            self.fleet.start()
         self.decider.start()
         if self.waiting is not None:
             self.waiting.start()
@@ -144,7 +152,9 @@
             self.loop.spawn(self.peers.run())
         self.loop.spawn(self._heed(signals))
         if self.takeover is not None and self.takeover.reach():
-            self.loop.spawn(self._join(listen, door))
+            self.loop.spawn(self._later(listen, door, LIST_US, lambda: self.discovery.following))
+        elif self.fleet is not None:
+            self.loop.spawn(self._later(listen, door, self.fleet.patience_us, self.fleet.listed))
         else:
             self._serve(listen, door)
         self.loop.run()
@@ -161,10 +171,12 @@
             self.takeover.serving()
         self.log.event("ready", listen=listen.name, door=door, next_hops=len(self.hops.hops))
 
-    def _join(self, listen: listener.Listener, door: str | None) -> Coroutine[None]:
-        """Another process serves still: there is time to hear which next hops there are."""
-        until = self.loop.now_us() + LIST_US
-        while self.loop.now_us() < until and not self.discovery.following:
+    def _later(
+        self, listen: listener.Listener, door: str | None, longest_us: int, able: Callable[[], bool]
+    ) -> Coroutine[None]:
+        """Another process, or another node, serves still: there is time to hear which next hops there are."""
+        until = self.loop.now_us() + longest_us
+        while self.loop.now_us() < until and not able():
             yield Wait(until_us=self.loop.now_us() + LOOK_US)
         if self.life.phase is Phase.STARTING:
             self._serve(listen, door)
@@ -256,6 +268,8 @@
             self.takeover.ending()
         yield from self.callers.stop()
         self.hops.wind_up()
+        if self.fleet is not None:
+            self.fleet.leave()
         until = self.loop.now_us() + self.deadline_us
         while self.loop.now_us() < until and self._busy():
             yield Wait(until_us=self.loop.now_us() + LOOK_US)
--- a/rushsaddle/operator/records.py
+++ b/rushsaddle/operator/records.py
@@ -31,6 +31,20 @@
     legs_share: Share = 0.5  # share of the connections from callers that may wait
 
 
+class Fleet(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """[fleet]: nodes that know of each other and pass the list of senders on."""
+
+    enabled: bool = False
+    listen: str = ""  # address for members, UDP and TCP; a port of 0 is chosen by the system
+    told: str = ""  # the address that others are told, where it is not the one that is bound
+    seeds: tuple[str, ...] = ()  # members that a new one asks first; any that run will do
+    key_file: str = ""  # its bytes are the fleet's key: 16 at least, the same at every member
+    period: Duration = "250ms"  # between pings of one member
+    suspect: Duration = "3200ms"  # the least time that a silent member has to refute
+    most: Annotated[int, msgspec.Meta(ge=2, le=10_000)] = 2_000  # members known at once
+    patience: Duration = "30s"  # a node without a list takes callers after so long all the same
+
+
 class LogSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """[log]: how the log is written."""
 
@@ -43,12 +57,16 @@
     version: int = VERSION
     waiting: Waiting = msgspec.field(default_factory=Waiting)
     limits: Limits | None = None
+    fleet: Fleet = msgspec.field(default_factory=Fleet)
     log: LogSection = msgspec.field(default_factory=LogSection)
 
 
-SECTIONS: dict[str, type[msgspec.Struct]] = {"waiting": Waiting, "limits": Limits, "log": LogSection}
+SECTIONS: dict[str, type[msgspec.Struct]] = {
+    "waiting": Waiting, "limits": Limits, "fleet": Fleet, "log": LogSection,
+}
 DURATIONS = {
     *((Waiting, key) for key in ("longest", "remember", "keep")),
+    *((Fleet, key) for key in ("period", "suspect", "patience")),
     *((table, key) for table in (LimitTable, RouteTable) for key in ("timeout", "attempt_timeout")),
 }
 
--- a/rushsaddle/parts.py
+++ b/rushsaddle/parts.py
@@ -10,7 +10,8 @@
 from collections.abc import Callable
 from contextlib import suppress
 from pathlib import Path
-from typing import Protocol
+from random import Random
+from typing import Any, Protocol
 
 from tansygw.interface import Settings
 
@@ -19,15 +20,22 @@
 from .core.durations import duration_us
 from .core.log import Log
 from .core.loop import Coroutine, Loop, Wait
+from .core.names import address
 from .core.transaction import Transaction
+from .fleet.members import Rules as MemberRules
+from .fleet.service import Fleet, Where
+from .fleet.shelf import Shelf
+from .fleet.wire import KEY_LEAST
 from .limits.build import Shape, shape_of
 from .limits.records import Limits
 from .limits.service import Limiter
 from .net.caller import Callers
 from .net.desk import WaitDesk
+from .net.discovery import Discovery
 from .net.jobs import HttpFront
 from .operator.explain import fit
 from .operator.load import OperatorError, Source
+from .operator.records import Fleet as FleetSection
 from .operator.records import Operator
 from .operator.records import Waiting as Section
 from .waiting.service import Waiting
@@ -46,6 +54,7 @@
     log: Log
     decider: Decider
     callers: Callers
+    discovery: Discovery
     settle: Callable[[], tuple[Operator, Source] | None]
     operator: Operator | None
     waiting: Waiting | None
@@ -79,6 +88,45 @@
     return waiting
 
 
+def fleet_part(node: Whole, section: FleetSection) -> Fleet:
+    """Members and the list passed on, joined to a node; raises OperatorError with every fault."""
+    faults = []
+
+    def checked(key: str, text: str) -> str:
+        try:
+            address(text)
+        except ValueError as error:
+            faults.append(f"fleet.{key}: {error}")
+        return text
+
+    checked("listen", section.listen)
+    if section.told:
+        checked("told", section.told)
+    elif section.listen.startswith("0.0.0.0:"):
+        faults.append("fleet.told: missing; others cannot be told 0.0.0.0")
+    seeds = tuple(checked(f"seeds[{n}]", seed) for n, seed in enumerate(section.seeds))
+    key = b""
+    try:
+        key = Path(section.key_file).read_bytes().strip()
+        if len(key) < KEY_LEAST:
+            faults.append(f"fleet.key_file: {section.key_file}: a key has {KEY_LEAST} bytes or more")
+    except OSError as error:
+        faults.append(f"fleet.key_file: {section.key_file or 'missing'}: {error.strerror}")
+    if faults:
+        raise OperatorError(faults)
+    host, port = node.discovery.address
+    shelf = node.discovery.follower = Shelf(f"{host}:{port}")
+    rules = MemberRules(duration_us(section.period), duration_us(section.suspect), most=section.most)
+
+    def check(fields: Any) -> None:
+        node.told.names.entries(fields["targets"])
+
+    return Fleet(
+        node.loop, node.log, Where(address(section.listen), section.told or None, seeds, key, rules), shelf,
+        check, node.discovery.passed_on, Random(), duration_us(section.patience),
+    )
+
+
 class Settled:
     """The operator's settings, checked against the platform's and ready to be taken."""
 
@@ -176,6 +224,7 @@
     pairs = {
         "waiting.enabled": (old.waiting.enabled, operator.waiting.enabled),
         "waiting.store": (old.waiting.store, operator.waiting.store), "log.format": (old.log, operator.log),
+        "fleet": (old.fleet, operator.fleet),
         "limits": (node.limiter is not None, operator.limits is not None or node.limiter is not None),
     }
     return [key for key, (was, now) in pairs.items() if was != now]
--- /dev/null
+++ b/tests/members/test_members.py
@@ -0,0 +1,163 @@
+"""Membership in virtual time: joins, deaths, pauses, cuts, loss, and members that speak nonsense."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from measure.members import SECOND, Network
+from rushsaddle.fleet.members import INCARNATION_MOST, RELAYS, WELCOMES, Members, Rules
+from rushsaddle.fleet.wire import VERSION, Kind, Message, State, Update
+
+ME, OTHER = "10.0.0.1:7400", "10.0.0.2:7400"
+
+
+def settled(size: int = 12, seed: int = 1, loss: float = 0.0) -> Network:
+    network = Network(size, seed, loss)
+    network.run(6)
+    assert {m.size for m in network.members.values()} == {size}
+    return network
+
+
+def alone(**more: int) -> Members:
+    return Members(ME, 100, (), Rules(**more), Random(1), 0)
+
+
+def said(kind: Kind, *updates: Update, source: str = OTHER, number: int = 1, **more: str) -> Message:
+    return Message(VERSION, kind, number, source, 50, None, more.get("target"), updates)
+
+
+@pytest.mark.parametrize("size", [2, 3, 40])
+def test_all_know_all_whoever_starts_first(size: int) -> None:
+    settled(size, size)
+
+
+def test_a_dead_one_is_found_by_all_and_nobody_else_is_taken_for_dead() -> None:
+    network = settled(20, loss=0.05)
+    gone = network.place(7)
+    network.kill(gone)
+    network.run(10)
+    assert network.knows(gone, State.DEAD) == 19
+    assert {of for _, _, of, state in network.seen if state is State.DEAD} == {gone}
+
+
+def test_one_that_comes_back_at_its_old_place_is_taken_back() -> None:
+    network = settled()
+    place = network.place(5)
+    network.kill(place)
+    network.run(8)
+    network.start(place)
+    network.run(5)
+    assert network.knows(place, State.ALIVE) == 11 and network.members[place].size == 12
+
+
+def test_a_pause_of_three_seconds_is_survived_and_what_was_paused_blames_nobody() -> None:
+    for seed in range(5):
+        network = settled(12, seed)
+        stopped = [network.place(n) for n in (3, 4, 5, 6)]
+        for place in stopped:
+            network.pause(place)
+        network.run(3.0)
+        for place in stopped:
+            network.resume(place)
+        network.run(8)
+        assert not [of for _, _, of, state in network.seen if state is State.DEAD]
+        for member in network.members.values():
+            assert {member.state_of(place) for place in member.others} == {State.ALIVE}
+
+
+def test_a_cut_in_two_heals() -> None:
+    network = settled()
+    side = {network.place(n) for n in range(6)}
+    network.cut = lambda source, place: (source in side) != (place in side)
+    network.run(12)
+    assert all(m.size == 6 for m in network.members.values())
+    network.cut = lambda source, place: False
+    network.run(12)
+    assert all(m.size == 12 for m in network.members.values())
+
+
+def test_a_cut_one_way_is_seen_through_by_helpers() -> None:
+    """One pair cannot speak, all others can: nobody is dead."""
+    network = settled()
+    pair = {network.place(4), network.place(9)}
+    network.cut = lambda source, place: {source, place} == pair
+    network.run(20)
+    assert not [of for _, _, of, state in network.seen if state is State.DEAD]
+
+
+def test_who_leaves_on_purpose_is_gone_at_once() -> None:
+    network = settled()
+    place = network.place(8)
+    network._send(place, network.members[place].leave())  # its process may run on while jobs end
+    network.run(1.5)
+    assert network.knows(place, State.LEFT) == 11
+
+
+def test_one_that_is_taken_for_dead_says_louder_that_it_lives() -> None:
+    member = alone()
+    for state, told in ((State.SUSPECT, 100), (State.DEAD, 101), (State.LEFT, 205)):
+        member.hear(1, said(Kind.PING, Update(ME, told, state)))
+        assert member.incarnation == told + 1
+    member.hear(1, said(Kind.PING, Update(ME, 7, State.DEAD)))  # old news
+    member.hear(1, said(Kind.PING, Update(ME, INCARNATION_MOST, State.DEAD)))  # it must not run out
+    assert member.incarnation == 206
+    (answer,) = member.hear(1, said(Kind.PING))
+    assert Update(ME, 206, State.ALIVE) in answer.message.updates
+
+
+def test_old_doubled_and_reordered_news_change_nothing() -> None:
+    member = alone()
+    news = [Update(OTHER, 60, State.ALIVE), Update(OTHER, 60, State.DEAD), Update(OTHER, 59, State.ALIVE),
+            Update(OTHER, 60, State.SUSPECT), Update(OTHER, 60, State.ALIVE)]
+    for update in news * 2:
+        member.hear(1, said(Kind.ACK, update, source="10.0.0.3:7400"))
+    assert member.state_of(OTHER) is State.DEAD
+    member.hear(2, said(Kind.ACK, Update(OTHER, 61, State.ALIVE), source="10.0.0.3:7400"))
+    assert member.state_of(OTHER) is State.ALIVE
+
+
+def test_the_table_the_relays_and_a_welcome_are_bounded() -> None:
+    member = alone(most=300)
+    for n in range(600):
+        member.hear(n, said(Kind.ACK, source=f"10.1.{n // 250}.{n % 250}:1"))
+    assert len(member.others) == 300
+    out = member.hear(700, said(Kind.JOIN))
+    assert len(out) <= WELCOMES and {o.place for o in out} == {OTHER}
+    asked = [o for n in range(200) for o in member.hear(700, said(Kind.ASK, number=n, target="10.1.0.5:1"))]
+    assert len(asked) == RELAYS
+
+
+Said = tuple[int, Kind, int, int, State, int]  # wait, kind, source, incarnation, state, of whom
+
+
+@settings(max_examples=60)
+@given(st.lists(st.tuples(
+    st.integers(0, 400_000), st.sampled_from(Kind), st.integers(1, 5), st.integers(0, 9),
+    st.sampled_from(State), st.integers(1, 5),
+), max_size=60))
+def test_whatever_is_said_the_table_holds_together(story: list[Said]) -> None:
+    member, now = alone(), 0
+    for wait, kind, source, incarnation, state, of in story:
+        now += wait
+        if now >= member.due_us:
+            member.tick(now)
+        update = Update(f"10.0.0.{of}:7400", incarnation, state)
+        place, target = f"10.0.0.{source}:7400", f"10.0.0.{of}:7400"
+        for out in member.hear(now, said(kind, update, source=place, target=target)):
+            assert out.place != ME
+        assert member.due_us > now and ME not in member.others
+        up = [m.place for m in member.up()]
+        assert member.size == 1 + len(up)
+        assert member._suspects == {p for p in up if member.state_of(p) is State.SUSPECT}
+
+
+def test_a_tick_that_comes_late_blames_nobody() -> None:
+    member = alone()
+    member.hear(0, said(Kind.ACK))
+    member.tick(1)
+    member.tick(30 * SECOND)
+    assert member.state_of(OTHER) is State.ALIVE and member.health == 1
--- a/tests/operator/test_load.py
+++ b/tests/operator/test_load.py
@@ -112,7 +112,8 @@
     switched_on = tomllib.loads(re.sub(r"(?m)^# (\w+ = |\[)", r"\1", text))
     for section, record in SECTIONS.items():
         if section != "limits":  # its keys have no defaults: what is not set is the platform's
-            defaults = {key: getattr(record(), key) for key in record.__struct_fields__}
+            found = {key: getattr(record(), key) for key in record.__struct_fields__}
+            defaults = {key: list(v) if isinstance(v, tuple) else v for key, v in found.items()}
             assert switched_on[section] == defaults
     assert set(switched_on["limits"]) == set(Limits.__struct_encode_fields__)
     assert set(switched_on["limits"]["default"]) == set(LimitTable.__struct_fields__)
--- a/tests/takeover/test_replace.py
+++ b/tests/takeover/test_replace.py
@@ -66,9 +66,9 @@
         site.nodes[early].wait()
         site.wait(first, "newer process gone")
         late = site.begin()
+        site.wait(first, '"newer process serves"')  # what it has said must have left it before it dies
         site.nodes[late].kill()
         site.nodes[late].wait()
-        site.wait(first, '"newer process serves"')
         while site.log(first).count("newer process gone") < 2:
             time.sleep(0.01)
         time.sleep(0.2)
