A lasting copy of the list: a fleet that was killed starts without the list service

Need: where all nodes die with the list service, nobody has a list to pass on. With fleet.copy each keeps its last list in a folder that lasts: one file of named sections behind a checksum, written beside and renamed into place by a thread of its own, so that memory which survives a restart can use the same file. Torn, foreign, too old or no newer than the configuration's: not used, with the reason in the log, and written anew.

--- a/measure/coldstart.py
+++ b/measure/coldstart.py
@@ -1,11 +1,12 @@
 """Many nodes start in one second without a list, before a list service that takes calls in turn.
 
     python -m measure.coldstart [--nodes 20 60 200] [--rounds 5] [--lists 10] [--alone] [--down 20]
-        [--no-network] [--before CHECKOUT] [--json FILE]
+        [--no-network] [--copies] [--before CHECKOUT] [--json FILE]
 
 Real processes, stand-in senders and service, no traffic.  ``--lists`` is how many calls a second the
 service takes, ``--down`` for how many seconds it takes none at first.  ``--alone`` leaves members off,
-``--no-network`` loses every datagram between them, ``--before`` runs another checkout (without members).
+``--no-network`` loses every datagram between them, ``--before`` runs another checkout (without members),
+``--copies`` kills all once each has a copy of the list and starts them again with the service gone.
 Times are from the start of the last process until a node has a list that names senders.
 """
 
@@ -45,15 +46,22 @@
         link = Link(folder, own, number) if members and told.no_network else None
         if link is not None:
             link.cut("*", "*")
+        if told.copies and not members:
+            raise ValueError("--copies: only with members")
         fleet = Fleet(
             folder, count, senders.discovery, own, link.public if link is not None else None,
             Path(told.before) if told.before else None, told.group or count,
         )
         try:
             for node in fleet.nodes:
+                if told.copies:
+                    (node.folder / "copy").mkdir()
+                    node.operator["RUSHSADDLE_FLEET__COPY"] = str(node.folder / "copy")
                 node.begin()
             began = time.time()
             times = wait_for_lists(fleet, began)
+            if told.copies:
+                times = again(fleet, senders)
             time.sleep(1.0)
             cpu = [node.cpu_s() for node in fleet.nodes]
             memory = [node.memory_mb() for node in fleet.nodes]
@@ -62,11 +70,23 @@
             fleet.stop()
             if link is not None:
                 link.stop()
-            senders.stop()
+            if not told.copies:
+                senders.stop()
         calls = senders.calls()
     return row(count, times, calls, cpu, memory, members_known)
 
 
+def again(fleet: Fleet, senders: Senders) -> list[float]:
+    """All are killed once each has a copy, and start again without the service."""
+    while not all((node.folder / "copy" / "kept").exists() for node in fleet.nodes):
+        time.sleep(0.1)
+    fleet.stop()
+    senders.stop()
+    for node in fleet.nodes:
+        node.begin()
+    return wait_for_lists(fleet, time.time())
+
+
 def wait_for_lists(fleet: Fleet, began: float) -> list[float]:
     """Seconds from ``began`` until each node had a list; inf for one that never had."""
     times: dict[int, float] = {}
@@ -107,6 +127,7 @@
     parser.add_argument("--group", type=int, default=0, help="what nodes take for the group's size")
     parser.add_argument("--alone", action="store_true")
     parser.add_argument("--no-network", action="store_true")
+    parser.add_argument("--copies", action="store_true")
     parser.add_argument("--before")
     parser.add_argument("--json")
     told = parser.parse_args()
--- a/rushsaddle/fleet/service.py
+++ b/rushsaddle/fleet/service.py
@@ -23,6 +23,7 @@
 from ..core.loop import Coroutine, Loop, Task, Wait
 from ..core.names import Address, address
 from ..net.http import Stream
+from .lasting import Keeper, KeptList
 from .members import Members, Out, Rules
 from .shelf import Shelf
 from .wire import MESSAGE_MOST, Message, Stamp, decode, encode, opened, sealed, tag
@@ -34,6 +35,8 @@
 LIST_MOST = 4 * 1024 * 1024  # bytes of one list, as of the service's own
 AVOID_US = 1_000_000  # who gave nothing good is not asked again for so long: it must not keep us busy
 AVOID_MOST = 64
+COPY_US = 2_000_000  # between copies on the disk, while the list changes
+COPY_AGAIN_US = 60_000_000  # ... and while it does not: the copy tells how old it is
 
 
 @dataclass(slots=True, frozen=True)
@@ -101,6 +104,10 @@
         self.draw = draw
         self.patience_us = patience_us  # a node without a list waits so long before it takes callers
         self.members: Members | None = None
+        self.keeper: Keeper | None = None  # of the lasting copy; None: there is none
+        self.kept: Any = None  # the list out of it to start by
+        self._kept_at: tuple[Stamp | None, int] = (None, 0)  # what was given to the keeper, and when
+        self._not_kept = ""
         self.pulls = self.pulls_failed = self.strangers = 0
         self._sock: socket.socket | None = None
         self._beat_task: Task | None = None
@@ -175,6 +182,8 @@
                 members.stamp = self.shelf.stamp
                 self._send(members.tick(now))
                 self._tell(members)
+                if self.keeper is not None:
+                    self._keep(self.keeper, now)
             yield Wait(until_us=members.due_us)
 
     def _read(self, sock: socket.socket, members: Members) -> None:
@@ -214,6 +223,17 @@
             self.log.event("member", place=change.place, before=before, now=change.now.name.lower())
         members.changes.clear()
 
+    def _keep(self, keeper: Keeper, now: int) -> None:
+        """A list that has changed goes to the disk, and one that has not is known to be good for longer."""
+        stamp, (before, at) = self.shelf.stamp, self._kept_at
+        due = now - at > (COPY_US if stamp != before else COPY_AGAIN_US)
+        if stamp is not None and (due or before is None):
+            if keeper.keep("list", KeptList.of(stamp, now, self.shelf.whole())):
+                self._kept_at = stamp, now
+        if keeper.failed != self._not_kept:
+            self._not_kept = keeper.failed
+            self.log.event("copy not written" if keeper.failed else "copy written again", why=keeper.failed)
+
     # ------------------------------------------------------------ lists
 
     def _look(self, now: int, message: Message) -> None:
--- a/rushsaddle/node.py
+++ b/rushsaddle/node.py
@@ -141,7 +141,8 @@
         door = self._open_door(told.admin) if told.admin is not None else None
         if fd is not None and os.environ.get("TMPDIR"):
             self.takeover = self._meet(Path(os.environ["TMPDIR"]))
-        self.discovery.start(told.known)
+        known = told.known if self.fleet is None or self.fleet.kept is None else self.fleet.kept
+        self.discovery.start(known)
         if self.fleet is not None:
             self.fleet.start()
         self.decider.start()
--- a/rushsaddle/operator/records.py
+++ b/rushsaddle/operator/records.py
@@ -43,6 +43,8 @@
     suspect: Duration = "3200ms"  # the least time that a silent member has to refute
     most: Annotated[int, msgspec.Meta(ge=2, le=10_000)] = 2_000  # members known at once
     patience: Duration = "30s"  # a node without a list takes callers after so long all the same
+    copy: str = ""  # a folder that lasts, for the last list; each node its own
+    copy_longest: Duration = "24h"  # an older copy is not used
 
 
 class LogSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -66,7 +68,7 @@
 }
 DURATIONS = {
     *((Waiting, key) for key in ("longest", "remember", "keep")),
-    *((Fleet, key) for key in ("period", "suspect", "patience")),
+    *((Fleet, key) for key in ("period", "suspect", "patience", "copy_longest")),
     *((table, key) for table in (LimitTable, RouteTable) for key in ("timeout", "attempt_timeout")),
 }
 
--- a/rushsaddle/parts.py
+++ b/rushsaddle/parts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import gc
+import os
 import select
 import socket
 import sys
@@ -22,6 +23,7 @@
 from .core.loop import Coroutine, Loop, Wait
 from .core.names import address
 from .core.transaction import Transaction
+from .fleet.lasting import BadCopy, Keeper, Sections, list_of, read
 from .fleet.members import Rules as MemberRules
 from .fleet.service import Fleet, Where
 from .fleet.shelf import Shelf
@@ -112,6 +114,8 @@
             faults.append(f"fleet.key_file: {section.key_file}: a key has {KEY_LEAST} bytes or more")
     except OSError as error:
         faults.append(f"fleet.key_file: {section.key_file or 'missing'}: {error.strerror}")
+    if section.copy and not (Path(section.copy).is_dir() and os.access(section.copy, os.W_OK)):
+        faults.append(f"fleet.copy: {section.copy}: not a folder that can be written to")
     if faults:
         raise OperatorError(faults)
     host, port = node.discovery.address
@@ -121,10 +125,42 @@
     def check(fields: Any) -> None:
         node.told.names.entries(fields["targets"])
 
-    return Fleet(
+    fleet = Fleet(
         node.loop, node.log, Where(address(section.listen), section.told or None, seeds, key, rules), shelf,
         check, node.discovery.passed_on, Random(), duration_us(section.patience),
     )
+    if section.copy:
+        fleet.keeper, fleet.kept = _copy_of(node, section, shelf, check)
+    return fleet
+
+
+def _copy_of(
+    node: Whole, section: FleetSection, shelf: Shelf, check: Callable[[Any], None]
+) -> tuple[Keeper, Any]:
+    """The writer of the copy, and the list to start by where the copy has a good one.
+
+    A bad copy is no reason not to start: what is wrong with it is logged, and it is written anew.
+    """
+    folder, sections, fields = Path(section.copy), Sections(), None
+    try:
+        sections = read(folder)
+        if (kept := list_of(sections)) is not None:
+            age_us = node.loop.now_us() - kept.told_us
+            fields = kept.whole()
+            check(fields)
+            known = int(node.told.known["rev"])
+            if kept.stamp.service != shelf.service:
+                raise BadCopy(f"it is of {kept.stamp.service}")
+            if age_us > duration_us(section.copy_longest):
+                raise BadCopy(f"it is {age_us // 1_000_000} s old")
+            if known >= kept.stamp.rev and node.told.known["targets"]:
+                raise BadCopy(f"the configuration knows version {known}")
+            shelf.era = kept.stamp.era
+            node.log.event("copy used", version=kept.stamp.rev, age_s=age_us // 1_000_000)
+    except (BadCopy, KeyError, TypeError, ValueError) as error:
+        fields = None
+        node.log.event("copy not used", why=str(error))
+    return Keeper(folder, sections), fields
 
 
 class Settled:
