The change read again: one wait for a held address, one packing of lists, one HTTP call of commands

Written twice: the wait for an address that another process holds (words between nodes and members), the bounded unpacking of a list (passed on and kept on disk), its bound of 4 MB (three places), the HTTP call of the commands. Each is one piece now. A list is marked as passed on by a parameter of its own, messages are completed by replace, a test of a first copy that could not fail is gone.

One fault with it: where only listening failed, the datagram socket was bound a second time and never succeeded; each step is now tried by itself. Behaviour otherwise as it was; tests keep their assertions.

--- a/measure/coldstart.py
+++ b/measure/coldstart.py
@@ -46,8 +46,6 @@
         link = Link(folder, own, number) if members and told.no_network else None
         if link is not None:
             link.cut("*", "*")
-        if told.copies and not members:
-            raise ValueError("--copies: only with members")
         fleet = Fleet(
             folder, count, senders.discovery, own, link.public if link is not None else None,
             Path(told.before) if told.before else None, told.group or count,
@@ -131,6 +129,8 @@
     parser.add_argument("--before")
     parser.add_argument("--json")
     told = parser.parse_args()
+    if told.copies and (told.alone or told.before):
+        parser.error("--copies: only with members")
     room_for_descriptors()
     kept: list[dict[str, float]] = []
     for count in told.nodes:
--- a/rushsaddle/cli_fleet.py
+++ b/rushsaddle/cli_fleet.py
@@ -2,42 +2,26 @@
 
 from __future__ import annotations
 
-import http.client
 import secrets
-import sys
 from pathlib import Path
 from typing import Any
 
 import click
 import orjson
 
-from .core.names import address
+from .cli_jobs import JobsError, Running, fail
 from .fleet.wire import opened, tag
 
-WAIT_S = 3.0
-
-
-class FleetError(Exception):
-    """Why a member could not be asked, in one line."""
-
 
 def members_of(place: str, key: bytes) -> dict[str, Any]:
-    """What a member says of itself and the others; raises FleetError."""
-    try:
-        host, port = address(place)
-        connection = http.client.HTTPConnection(host, port, timeout=WAIT_S)
-        target = f"/members/{secrets.randbelow(10**18)}"
-        connection.request("GET", target, headers={"X-Seal": tag(key, target.encode()).hex()})
-        answer = connection.getresponse()
-        data = answer.read()
-        connection.close()
-    except (OSError, ValueError, http.client.HTTPException) as error:
-        raise FleetError(f"{place}: {error}") from None
-    if answer.status == 403:
-        raise FleetError(f"{place}: it has another key")
+    """What a member says of itself and the others; raises JobsError."""
+    target = f"/members/{secrets.randbelow(10**18)}"
+    status, _, data = Running(place).call("GET", target, {"X-Seal": tag(key, target.encode()).hex()})
+    if status == 403:
+        raise JobsError(f"{place}: it has another key")
     body = opened(key, data)
-    if answer.status != 200 or body is None:
-        raise FleetError(f"{place}: status {answer.status}, not a member's answer")
+    if status != 200 or body is None:
+        raise JobsError(f"{place}: status {status}, not a member's answer")
     told: dict[str, Any] = orjson.loads(body)
     return told
 
@@ -61,9 +45,9 @@
     """
     try:
         told = members_of(member, Path(key_file).read_bytes().strip())
-    except (FleetError, OSError) as error:
-        print(f"rushsaddle: {error}", file=sys.stderr)
-        sys.exit(1)
+    except (JobsError, OSError) as error:
+        fail(error, 1)
+        return
     if as_json:
         click.echo(orjson.dumps(told))
         return
--- a/rushsaddle/cli_jobs.py
+++ b/rushsaddle/cli_jobs.py
@@ -5,7 +5,7 @@
 import http.client
 import sys
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -35,18 +35,23 @@
     def __init__(self, address: str) -> None:
         self.address = address
 
-    def ask(self, method: str, path: str) -> tuple[int, Any]:
+    def call(self, method: str, path: str, headers: Mapping[str, str]) -> tuple[int, str, bytes]:
+        """Status, content type and body."""
         try:
             connection = http.client.HTTPConnection(self.address, timeout=PATIENCE_S)
-            connection.request(method, path)
+            connection.request(method, path, headers=dict(headers))
             answer = connection.getresponse()
             body = answer.read()
             connection.close()
         except (OSError, http.client.HTTPException, ValueError) as error:
             raise JobsError(f"{self.address}: {error}") from None
-        if "json" in (answer.getheader("Content-Type") or ""):
-            return answer.status, orjson.loads(body)
-        return answer.status, body.decode("latin-1").strip()
+        return answer.status, answer.getheader("Content-Type") or "", body
+
+    def ask(self, method: str, path: str) -> tuple[int, Any]:
+        status, kind, body = self.call(method, path, {})
+        if "json" in kind:
+            return status, orjson.loads(body)
+        return status, body.decode("latin-1").strip()
 
     def jobs(self) -> Iterator[dict[str, Any]]:
         start = 0
--- a/rushsaddle/core/names.py
+++ b/rushsaddle/core/names.py
@@ -9,6 +9,7 @@
 from tansygw.interface import WorkerEntry, WorkerState
 
 Address = tuple[str, int]
+LIST_MOST = 4 * 1024 * 1024  # bytes of one list, whoever tells it
 NOWHERE: Address = ("", 0)  # an entry that is gone need not tell where it was
 STATES = {s.value: s for s in WorkerState}
 
--- a/rushsaddle/fleet/lasting.py
+++ b/rushsaddle/fleet/lasting.py
@@ -11,7 +11,6 @@
 import os
 import queue
 import threading
-import zlib
 from collections.abc import Mapping
 from contextlib import suppress
 from pathlib import Path
@@ -19,14 +18,12 @@
 
 import crc32c
 import msgspec
-import orjson
 
-from .wire import Stamp
+from .wire import Stamp, packed, unpacked
 
 MAGIC = b"rushsaddle kept 1\n"
 CHECK = 8  # hexadecimal digits of the checksum, before an LF
 FILE_MOST = 8 * 1024 * 1024  # bytes
-LIST_MOST = 4 * 1024 * 1024  # bytes of the list in it, unpacked
 NAME = "kept"
 
 
@@ -43,17 +40,15 @@
 
     @classmethod
     def of(cls, stamp: Stamp, told_us: int, whole: Mapping[str, Any]) -> KeptList:
-        return cls(stamp, told_us, zlib.compress(orjson.dumps(whole), 1))
+        return cls(stamp, told_us, packed(whole))
 
     def whole(self) -> dict[str, Any]:
         """As the service told it; raises BadCopy."""
         try:
-            inflate = zlib.decompressobj()
-            text = inflate.decompress(self.packed, LIST_MOST)
-            fields = orjson.loads(text) if inflate.eof else None
-        except (zlib.error, orjson.JSONDecodeError) as error:
+            fields = unpacked(self.packed)
+        except ValueError as error:
             raise BadCopy(f"its list: {error}") from None
-        if not isinstance(fields, dict) or not isinstance(fields.get("targets"), list):
+        if not isinstance(fields.get("targets"), list):
             raise BadCopy("its list is none")
         return fields
 
--- a/rushsaddle/fleet/members.py
+++ b/rushsaddle/fleet/members.py
@@ -18,6 +18,8 @@
 from random import Random
 from typing import NamedTuple
 
+from msgspec.structs import replace
+
 from .wire import VERSION, Kind, Message, Stamp, State, Update, checksum, room
 
 HELPERS = 3  # asked to ping for us
@@ -283,9 +285,7 @@
         empty = Message(VERSION, Kind.WELCOME, 0, self.me, self.incarnation, self.stamp)
         each = max(1, room(empty))
         parts = [known[n : n + each] for n in range(0, len(known), each)][:WELCOMES] or [[]]
-        return [Out(place, Message(
-            VERSION, Kind.WELCOME, 0, self.me, self.incarnation, self.stamp, None, tuple(part)
-        )) for part in parts]
+        return [Out(place, replace(empty, updates=tuple(part))) for part in parts]
 
     def leave(self) -> list[Out]:
         """Some are told that this one goes on purpose; they tell the others."""
@@ -298,10 +298,7 @@
 
     def _say(self, place: str, kind: Kind, number: int = 0, target: str | None = None) -> Out:
         bare = Message(VERSION, kind, number, self.me, self.incarnation, self.stamp, target)
-        updates = self._rumours(place, room(bare))
-        return Out(place, Message(
-            VERSION, kind, number, self.me, self.incarnation, self.stamp, target, updates
-        ))
+        return Out(place, replace(bare, updates=self._rumours(place, room(bare))))
 
     def _rumours(self, place: str, most: int) -> tuple[Update, ...]:
         """What we think of the one we speak to, if that is no good, and the news that was told least."""
--- a/rushsaddle/fleet/service.py
+++ b/rushsaddle/fleet/service.py
@@ -9,7 +9,6 @@
 
 import select
 import socket
-import zlib
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from random import Random
@@ -21,18 +20,17 @@
 
 from ..core.log import Log
 from ..core.loop import Coroutine, Loop, Task, Wait
-from ..core.names import Address, address
+from ..core.names import LIST_MOST, Address, address
 from ..net.http import Stream
+from ..net.listener import bound
 from .lasting import Keeper, KeptList
 from .members import Members, Out, Rules
 from .shelf import Shelf
-from .wire import MESSAGE_MOST, Message, Stamp, decode, encode, opened, sealed, tag
+from .wire import MESSAGE_MOST, Message, Stamp, decode, encode, opened, packed, sealed, tag, unpacked
 
 READ_MOST = 64  # datagrams in one wake: a flood must not hold up the loop
 SERVES_MOST = 16  # lists handed out at once; others find another member
 SERVE_US = 1_000_000  # a list is fetched, or handed out, within this
-AGAIN_US = 1_000_000  # the address may be held by a process that is being replaced: it is tried again
-LIST_MOST = 4 * 1024 * 1024  # bytes of one list, as of the service's own
 AVOID_US = 1_000_000  # who gave nothing good is not asked again for so long: it must not keep us busy
 AVOID_MOST = 64
 COPY_US = 2_000_000  # between copies on the disk, while the list changes
@@ -63,7 +61,7 @@
 
 
 def pack(key: bytes, number: int, stamp: Stamp, whole: Mapping[str, Any]) -> bytes:
-    return sealed(key, msgspec.msgpack.encode(Passed(number, stamp, zlib.compress(orjson.dumps(whole), 1))))
+    return sealed(key, msgspec.msgpack.encode(Passed(number, stamp, packed(whole))))
 
 
 def unpack(key: bytes, number: int, data: bytes) -> tuple[Stamp, dict[str, Any]]:
@@ -75,16 +73,13 @@
         passed = msgspec.msgpack.decode(body, type=Passed)
         if passed.number != number:
             raise BadList("the answer to another call")
-        inflate = zlib.decompressobj()
-        text = inflate.decompress(passed.packed, LIST_MOST)
-        if not inflate.eof:
-            raise BadList("too long, or cut off")
-        fields = orjson.loads(text)
-    except (msgspec.DecodeError, msgspec.ValidationError, zlib.error, orjson.JSONDecodeError) as error:
+        return passed.stamp, unpacked(passed.packed)
+    except (msgspec.DecodeError, ValueError) as error:
         raise BadList(str(error)) from None
-    if not isinstance(fields, dict):
-        raise BadList("not an object")
-    return passed.stamp, fields
+
+
+def _plain(stamp: Stamp | None) -> tuple[Any, ...] | None:
+    return None if stamp is None else msgspec.structs.astuple(stamp)
 
 
 class Fleet:
@@ -132,8 +127,12 @@
         listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         datagrams = socket.socket(socket.AF_INET, socket.SOCK_DGRAM | socket.SOCK_NONBLOCK)
         try:
-            yield from self._bound(listener, datagrams)
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            yield from bound(self.loop, self.log, "no members yet", lambda: listener.bind(self.where.listen))
+            # A port that the system chose for one may be taken for the other.
             host, port = listener.getsockname()
+            yield from bound(self.loop, self.log, "no members yet", lambda: datagrams.bind((host, port)))
+            yield from bound(self.loop, self.log, "no members yet", lambda: listener.listen(SERVES_MOST))
             me = self.where.told or f"{host}:{port}"
             now = self.loop.now_us()
             members = self.members = Members(
@@ -151,28 +150,6 @@
             datagrams.close()
             listener.close()
 
-    def _bound(self, listener: socket.socket, datagrams: socket.socket) -> Coroutine[None]:
-        """Both at one address; a port that the system chooses for one may be taken for the other."""
-        failed = False
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        host, port = self.where.listen
-        bound = False
-        while True:
-            try:
-                if not bound:
-                    listener.bind((host, port))
-                    bound = True
-                datagrams.bind(listener.getsockname())
-                listener.listen(SERVES_MOST)
-                return
-            except OSError as error:
-                if not failed:
-                    self.log.error("no members yet", error)
-                failed = True
-            until = self.loop.now_us() + AGAIN_US
-            while self.loop.now_us() < until:
-                yield Wait(until_us=until)
-
     # ------------------------------------------------------------ datagrams
 
     def _beat(self, members: Members) -> Coroutine[None]:
@@ -226,8 +203,7 @@
     def _keep(self, keeper: Keeper, now: int) -> None:
         """A list that has changed goes to the disk, and one that has not is known to be good for longer."""
         stamp, (before, at) = self.shelf.stamp, self._kept_at
-        due = now - at > (COPY_US if stamp != before else COPY_AGAIN_US)
-        if stamp is not None and (due or before is None):
+        if stamp is not None and now - at > (COPY_US if stamp != before else COPY_AGAIN_US):
             if keeper.keep("list", KeptList.of(stamp, now, self.shelf.whole())):
                 self._kept_at = stamp, now
         if keeper.failed != self._not_kept:
@@ -340,16 +316,16 @@
 
     def told(self) -> dict[str, Any]:
         """Members as this one knows them, for people and programs."""
-        members, stamp = self.members, self.shelf.stamp
+        members = self.members
         if members is None:
             return {"me": None, "members": []}
         return {
             "me": members.me, "incarnation": members.incarnation, "health": members.health,
-            "list": None if stamp is None else [stamp.service, stamp.era, stamp.rev],
+            "list": _plain(self.shelf.stamp),
             "direct": self.shelf.direct, "fetched": self.pulls, "failed": self.pulls_failed,
             "strangers": self.strangers, "members": [
                 {"place": m.place, "state": m.state.name.lower(), "incarnation": m.incarnation,
-                 "list": None if m.stamp is None else [m.stamp.service, m.stamp.era, m.stamp.rev]}
+                 "list": _plain(m.stamp)}
                 for m in sorted(members.others.values(), key=lambda m: m.place)
             ],
         }
--- a/rushsaddle/fleet/wire.py
+++ b/rushsaddle/fleet/wire.py
@@ -9,10 +9,14 @@
 
 import hmac
 import zlib
+from collections.abc import Mapping
 from enum import IntEnum
-from typing import Annotated
+from typing import Annotated, Any
 
 import msgspec
+import orjson
+
+from ..core.names import LIST_MOST
 
 VERSION = 1
 MESSAGE_MOST = 1200  # bytes of a datagram: below the least MTU of the paths that count, without fragments
@@ -97,6 +101,24 @@
     return body if len(data) > TAG and hmac.compare_digest(found, tag(key, body)) else None
 
 
+def packed(fields: Mapping[str, Any]) -> bytes:
+    """A list, for a way or a disk."""
+    return zlib.compress(orjson.dumps(fields), 1)
+
+
+def unpacked(data: bytes) -> dict[str, Any]:
+    """What was packed; raises ValueError for what is torn, too long or no object, within bounded memory."""
+    try:
+        inflate = zlib.decompressobj()
+        text = inflate.decompress(data, LIST_MOST)
+    except zlib.error as error:
+        raise ValueError(str(error)) from None
+    fields = orjson.loads(text) if inflate.eof else None
+    if not isinstance(fields, dict):
+        raise ValueError("too long, cut off, or not an object")
+    return fields
+
+
 def room(message: Message) -> int:
     """How many updates the message can still take."""
     free = MESSAGE_MOST - TAG - len(_ENCODER.encode(message)) - 4
--- a/rushsaddle/net/discovery.py
+++ b/rushsaddle/net/discovery.py
@@ -15,11 +15,10 @@
 
 from ..core.log import Log
 from ..core.loop import Coroutine, Loop, Task, Wait
-from ..core.names import Address, Names
+from ..core.names import LIST_MOST, Address, Names
 from .http import Lines, Stream
 from .nexthop import NextHops
 
-LIST_MOST = 4 * 1024 * 1024  # bytes of one list
 ANSWER_US = 5_000_000  # a call may wait its turn for so long
 MOVE_US = 4_000_000  # a service that is new must be heard within this: it is asked again by itself until then
 AGAIN_US = (200_000, 1_000_000)  # ... after at most so long at first, doubled each time up to the second
@@ -184,13 +183,14 @@
 
     def passed_on(self, fields: Any, by: str) -> None:
         """A whole list that another node passed on, newer than ours."""
-        self._tell(fields, ListKind.COMPLETE, by=by)
+        self._tell(fields, ListKind.COMPLETE, by)
 
-    def _tell(self, fields: Any, kind: ListKind, **more: Any) -> None:
+    def _tell(self, fields: Any, kind: ListKind, by: str = "") -> None:
+        """News of the list, ``by`` another node or by the service itself."""
         if kind is ListKind.CHANGES and fields.get("all"):
             kind = ListKind.COMPLETE
         entries = self.names.entries(fields["targets"])
-        if self.follower is not None and not more:
+        if self.follower is not None and not by:
             if kind is ListKind.SAVED:
                 self.follower.saved(fields)
             elif not self.follower.told(fields, kind is ListKind.COMPLETE):
@@ -198,5 +198,6 @@
         self.version = int(fields["rev"])
         self._new = False
         self.hops.learn(kind is not ListKind.CHANGES, entries)
-        self.log.event("list", kind=kind, version=self.version, entries=len(entries), **more)
+        passed = {"by": by} if by else {}
+        self.log.event("list", kind=kind, version=self.version, entries=len(entries), **passed)
         self.put(WorkerList(kind, tuple(entry for entry, _ in entries), self.version))
--- a/rushsaddle/net/listener.py
+++ b/rushsaddle/net/listener.py
@@ -4,10 +4,14 @@
 
 import os
 import socket
+from collections.abc import Callable
 
+from ..core.log import Log
+from ..core.loop import Coroutine, Loop, Wait
 from ..core.names import Address
 
 BACKLOG = 512
+AGAIN_US = 1_000_000  # the address may be held by a process that is being replaced: it is tried again
 
 
 class NoListener(Exception):
@@ -52,3 +56,19 @@
         raise NoListener(f"GW_INHERITED_FD: {fd} is not a listening IPv4 stream socket")
     os.set_inheritable(fd, False)
     return Listener(sock, inherited=True)
+
+
+def bound(loop: Loop, log: Log, failure: str, bind: Callable[[], None]) -> Coroutine[None]:
+    """Call ``bind`` until it succeeds; its first OSError is logged as ``failure``."""
+    failed = False
+    while True:
+        try:
+            bind()
+            return
+        except OSError as error:
+            if not failed:
+                log.error(failure, error)
+            failed = True
+        until = loop.now_us() + AGAIN_US
+        while loop.now_us() < until:
+            yield Wait(until_us=until)
--- a/rushsaddle/net/peers.py
+++ b/rushsaddle/net/peers.py
@@ -12,9 +12,9 @@
 from ..core.log import Log
 from ..core.loop import Coroutine, Loop, Wait
 from ..core.names import PeerAddresses
+from .listener import bound
 
 READ_MOST = 64  # datagrams read in one wake: a flood must not hold up the loop
-AGAIN_US = 1_000_000  # the address may be held by a process that is being replaced: it is tried again
 
 
 class PeerLink:
@@ -35,7 +35,9 @@
     def run(self) -> Coroutine[None]:
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM | socket.SOCK_NONBLOCK)
         try:
-            yield from self._bound(sock)
+            yield from bound(
+                self.loop, self.log, "no words between nodes yet", lambda: sock.bind(self.where.listen)
+            )
             self._sock = sock
             while True:
                 yield Wait(sock.fileno(), select.EPOLLIN)
@@ -44,20 +46,6 @@
             self._sock = None
             sock.close()
 
-    def _bound(self, sock: socket.socket) -> Coroutine[None]:
-        failed = False
-        while True:
-            try:
-                sock.bind(self.where.listen)
-                return
-            except OSError as error:
-                if not failed:
-                    self.log.error("no words between nodes yet", error)
-                failed = True
-            until = self.loop.now_us() + AGAIN_US
-            while self.loop.now_us() < until:
-                yield Wait(until_us=until)
-
     def _read(self, sock: socket.socket) -> None:
         for _ in range(READ_MOST):
             try:
