One rig for a fleet: tests and the cold start share its start, its link and its end

The tests had a second wrapper round the rig's fleet, with its own start, link and end, and the cold start measurement a third. Now Fleet of measure/rig.py has them, and the wait for a condition. An error other than a refused call is no longer taken for a member that does not answer yet.

--- a/measure/coldstart.py
+++ b/measure/coldstart.py
@@ -22,7 +22,6 @@
 from pathlib import Path
 from typing import Any
 
-from .link import Link, free_places
 from .rig import Fleet, Senders, room_for_descriptors
 from .table import show
 
@@ -37,20 +36,19 @@
     return 0.0
 
 
-def one(count: int, told: argparse.Namespace, number: int) -> dict[str, float]:
+def one(count: int, told: argparse.Namespace) -> dict[str, float]:
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
         senders = Senders(folder, 8, 8, lists_per_s=told.lists, lists_from_s=told.down)
         members = not told.alone and told.before is None
-        own = free_places(count) if members else []
-        link = Link(folder, own, number) if members and told.no_network else None
-        if link is not None:
-            link.cut("*", "*")
-        fleet = Fleet(
-            folder, count, senders.discovery, own, link.public if link is not None else None,
-            Path(told.before) if told.before else None, told.group or count,
-        )
+        fleet = Fleet(folder)
         try:
+            fleet.start(
+                count, senders.discovery, link=members and told.no_network, begin=False, members=members,
+                tree=Path(told.before) if told.before else None, group=told.group,
+            )
+            if fleet.link is not None:
+                fleet.link.cut("*", "*")
             for node in fleet.nodes:
                 if told.copies:
                     (node.folder / "copy").mkdir()
@@ -66,10 +64,7 @@
             members_known = fleet.known() if members else 0.0
         finally:
             fleet.stop()
-            if link is not None:
-                link.stop()
-            if not told.copies:
-                senders.stop()
+            senders.stop()
         calls = senders.calls()
     return row(count, times, calls, cpu, memory, members_known)
 
@@ -138,8 +133,8 @@
             print(f"{count} nodes: not enough memory or cores here", file=sys.stderr)
             continue
         rows = []
-        for number in range(told.rounds):
-            rows.append(one(count, told, number))
+        for _ in range(told.rounds):
+            rows.append(one(count, told))
             print(json.dumps(rows[-1]), file=sys.stderr, flush=True)
         show(rows, None)
         kept += rows
--- a/measure/rig.py
+++ b/measure/rig.py
@@ -11,12 +11,18 @@
 import subprocess
 import sys
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
+from rushsaddle.cli_fleet import members_of
+from rushsaddle.cli_jobs import JobsError
+
+from .link import Link, free_places
+
 PATIENCE = 30.0
+NOBODY = "127.0.0.1:9"  # a service that takes no calls
 SETTINGS: dict[str, Any] = {
     "Azs": ["north", "south"], "Kinds": ["box"], "Discovery": "on_request", "TickUs": 2000, "GroupSize": 1,
     "Limits": {"Cancel": True, "SecondCopies": True, "RetryAfter": True, "MayProbe": True, "MaxAttempts": 4,
@@ -163,38 +169,79 @@
         return self.process.wait(PATIENCE)
 
 
+def until(what: str, condition: Callable[[], Any]) -> None:
+    """Wait for a condition; only a failure waits for so long."""
+    give_up = time.monotonic() + 2 * PATIENCE
+    while not condition():
+        assert time.monotonic() < give_up, f"never: {what}"
+        time.sleep(0.02)
+
+
 class Fleet:
-    """Nodes that know of each other, each in a folder of its own; none is started yet.
+    """Nodes that know of each other, by number, each in a folder of its own and with a members' address.
 
-    ``own`` are their members' addresses, none where members are off; ``told`` what they tell others instead.
-    ``discovery`` is one service, or one for each; ``known`` the lists that some have from before.
+    ``own`` are those addresses, none where members are off; ``places`` what others are told, which differs
+    where a link lies between.
     """
 
-    def __init__(
-        self, folder: Path, count: int, discovery: str | list[str], own: list[str],
-        told: list[str] | None = None, tree: Path | None = None, group: int = 0,
-        known: Mapping[int, Any] | None = None,
-    ) -> None:
-        self.own = own
-        self.told = told or own
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
         self.key = b"a key that is only for this rig"
-        key_file = folder / "fleet.key"
+        self.nodes: list[Node] = []
+        self.own: list[str] = []
+        self.places: list[str] = []
+        self.link: Link | None = None
+
+    def start(
+        self, count: int, services: str | list[str] = NOBODY, lists: Mapping[int, Any] | None = None,
+        link: bool = False, begin: bool = True, members: bool = True, tree: Path | None = None,
+        group: int = 0,
+    ) -> list[Node]:
+        """``services`` is one for all, or one for each; ``lists`` what some know from before; ``group`` the
+        size that they are told, where it is not their number."""
+        self.own = free_places(count) if members else []
+        if link:
+            self.link = Link(self.folder, self.own)
+        self.places = self.link.public if self.link is not None else self.own
+        key_file = self.folder / "fleet.key"
         key_file.write_bytes(self.key)
         settings = {**SETTINGS, "GroupSize": group or count}
-        self.nodes = []
         for n in range(count):
-            place = folder / f"n{n}"
+            place = self.folder / f"n{n}"
             place.mkdir()
             operator = {}
-            if own:
-                operator = {"ENABLED": "true", "LISTEN": own[n], "SEEDS": json.dumps(self.told[:3]),
-                            "KEY_FILE": str(key_file), "TOLD": self.told[n]}
+            if members:
+                operator = {"ENABLED": "true", "LISTEN": self.own[n], "SEEDS": json.dumps(self.places[:3]),
+                            "KEY_FILE": str(key_file), "TOLD": self.places[n]}
             more: dict[str, Any] = {"name": f"n{n}", "settings": settings, "seed": f"{n + 1:x}"}
-            if known is not None and n in known:
-                more["known"] = known[n]
-            service = discovery if isinstance(discovery, str) else discovery[n]
+            if lists is not None and n in lists:
+                more["known"] = lists[n]
+            service = services if isinstance(services, str) else services[n]
             set_by = {f"RUSHSADDLE_FLEET__{key}": value for key, value in operator.items()}
-            self.nodes.append(Node(place, service, set_by, 512, tree, False, **more))
+            self.nodes.append(Node(place, service, set_by, 512, tree, begin=False, **more))
+        if begin:
+            for node in self.nodes:
+                node.begin()
+        return self.nodes
+
+    def told(self, n: int) -> dict[str, Any]:
+        """What it says of itself and the others."""
+        return members_of(self.own[n], self.key)
+
+    def states(self, n: int) -> dict[str, str]:
+        """What it thinks of each other, by its place; empty while it does not answer."""
+        try:
+            return {m["place"]: m["state"] for m in self.told(n)["members"]}
+        except JobsError:
+            return {}
+
+    def all_know_all(self) -> bool:
+        count = len(self.nodes)
+        return all(list(self.states(n).values()) == ["alive"] * (count - 1) for n in range(count))
+
+    def has_list(self, n: int, rev: int = 7) -> bool:
+        found = self.nodes[n].events("list")
+        return bool(found) and found[-1]["version"] == rev and found[-1]["entries"] > 0
 
     def known(self) -> float:
         """How many members each has heard of since its start, on average."""
@@ -208,6 +255,8 @@
             process.kill()
         for process in begun:
             process.wait(PATIENCE)
+        if self.link is not None:
+            self.link.stop()
 
 
 @dataclass(slots=True)
--- a/tests/members/conftest.py
+++ b/tests/members/conftest.py
@@ -7,14 +7,11 @@
 
 import pytest
 
-from .group import Group
+from measure.rig import Fleet
 
 
 @pytest.fixture
-def group(tmp_path: Path) -> Iterator[Group]:
-    group = Group(tmp_path)
-    yield group
-    if group.fleet is not None:
-        group.fleet.stop()
-    if group.link is not None:
-        group.link.stop()
+def group(tmp_path: Path) -> Iterator[Fleet]:
+    fleet = Fleet(tmp_path)
+    yield fleet
+    fleet.stop()
--- a/tests/members/test_lasting.py
+++ b/tests/members/test_lasting.py
@@ -9,6 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from measure.rig import NOBODY, Fleet, until
 from rushsaddle.fleet.lasting import (
     MAGIC,
     NAME,
@@ -23,7 +24,7 @@
 )
 from rushsaddle.fleet.wire import Stamp
 
-from .group import LIST, NOBODY, Group, until
+from .test_processes import LIST
 
 KEPT = KeptList.of(Stamp(NOBODY, 2, 7), 1_000_000, LIST)
 
@@ -72,7 +73,7 @@
     assert "No such file" in keeper.failed and list_of(read(tmp_path)) == KEPT
 
 
-def test_a_fleet_that_was_killed_starts_from_its_copies_while_the_service_is_down(group: Group) -> None:
+def test_a_fleet_that_was_killed_starts_from_its_copies_while_the_service_is_down(group: Fleet) -> None:
     nodes = group.start(4, lists={0: LIST}, begin=False)
     folders = [group.folder / f"kept{n}" for n in range(4)]
     for node, folder in zip(nodes, folders, strict=True):
@@ -93,7 +94,7 @@
     assert nodes[3].events("copy not used") and nodes[3].events("list")[-1]["by"]  # by another's
 
 
-def test_a_copy_of_another_service_or_too_old_is_not_used(group: Group) -> None:
+def test_a_copy_of_another_service_or_too_old_is_not_used(group: Fleet) -> None:
     nodes = group.start(3, begin=False)
     old = KeptList.of(Stamp(NOBODY, 0, 7), 1_000_000, LIST)
     foreign = KeptList.of(Stamp("127.0.0.1:11", 0, 7), 4_000_000_000_000_000, LIST)
--- a/tests/members/test_processes.py
+++ b/tests/members/test_processes.py
@@ -8,26 +8,27 @@
 import h11
 import pytest
 
-from measure.rig import PATIENCE
+from measure.rig import NOBODY, PATIENCE, Fleet, until
 from rushsaddle.fleet.service import pack
 from rushsaddle.fleet.wire import VERSION, Kind, Message, Stamp, encode
 
-from .group import LIST, NOBODY, Group, until
+LIST = {"rev": 7, "all": True, "targets": [
+    {"uid": f"s-{n}", "endpoint": f"127.0.0.1:{20 + n}", "az": "north", "model": "box", "pod_group": 0,
+     "state": "ready", "capacity_hint": 1.0, "boot_ms": 0} for n in range(3)
+]}
 
 
-def test_the_service_is_down_and_one_has_the_list_of_before(group: Group) -> None:
+def test_the_service_is_down_and_one_has_the_list_of_before(group: Fleet) -> None:
     group.start(5, lists={3: LIST})
     until("all have its list", lambda: all(group.has_list(n) for n in range(5)))
-    assert group.fleet is not None
-    passed = [node.events("list")[-1].get("by") for node in group.fleet.nodes]
+    passed = [node.events("list")[-1].get("by") for node in group.nodes]
     assert passed[3] is None and None not in passed[:3]
 
 
-def test_a_killed_one_is_found_dead_and_taken_back_when_it_starts_again(group: Group) -> None:
+def test_a_killed_one_is_found_dead_and_taken_back_when_it_starts_again(group: Fleet) -> None:
     nodes = group.start(4)
     until("all know all", group.all_know_all)
-    assert group.fleet is not None
-    place = group.fleet.told[3]
+    place = group.places[3]
     nodes[3].kill()
     until("it is dead for all", lambda: {group.states(n).get(place) for n in range(3)} == {"dead"})
     assert all(list(group.states(n).values()).count("alive") == 2 for n in range(3))
@@ -35,11 +36,10 @@
     until("all know all again", group.all_know_all)
 
 
-def test_one_that_stands_still_is_suspected_and_refutes(group: Group) -> None:
+def test_one_that_stands_still_is_suspected_and_refutes(group: Fleet) -> None:
     nodes = group.start(4)
     until("all know all", group.all_know_all)
-    assert group.fleet is not None
-    place = group.fleet.told[2]
+    place = group.places[2]
     before = group.told(2)["incarnation"]
     nodes[2].pause()
     try:
@@ -50,16 +50,15 @@
     assert group.told(2)["incarnation"] > before
 
 
-def test_one_that_is_told_to_end_is_gone_at_once(group: Group) -> None:
+def test_one_that_is_told_to_end_is_gone_at_once(group: Fleet) -> None:
     nodes = group.start(4)
     until("all know all", group.all_know_all)
-    assert group.fleet is not None
-    place = group.fleet.told[1]
+    place = group.places[1]
     assert nodes[1].stop() == 0
     until("it has left", lambda: {group.states(n).get(place) for n in (0, 2, 3)} == {"left"})
 
 
-def test_a_node_that_hears_of_no_list_takes_callers_in_the_end(group: Group) -> None:
+def test_a_node_that_hears_of_no_list_takes_callers_in_the_end(group: Fleet) -> None:
     nodes = group.start(3, begin=False)
     nodes[2].operator["RUSHSADDLE_FLEET__PATIENCE"] = "1ms"
     for node in nodes:
@@ -68,7 +67,7 @@
     assert not nodes[0].events("ready")
 
 
-def test_members_that_are_cut_off_from_all_but_one_still_hear_the_list(group: Group) -> None:
+def test_members_that_are_cut_off_from_all_but_one_still_hear_the_list(group: Fleet) -> None:
     """0, 1 and 4 hear nothing from 3, which has the list, and it nothing from them: 2 stands between."""
     nodes = group.start(5, lists={3: LIST}, link=True, begin=False)
     assert group.link is not None
@@ -80,7 +79,7 @@
     until("all have its list", lambda: all(group.has_list(n) for n in range(5)))
 
 
-def test_the_members_network_is_down_and_comes_back(group: Group) -> None:
+def test_the_members_network_is_down_and_comes_back(group: Fleet) -> None:
     nodes = group.start(4, lists={0: LIST}, link=True, begin=False)
     assert group.link is not None
     group.link.cut("*", "*")
@@ -93,7 +92,7 @@
     until("and take callers", lambda: all(node.events("ready") for node in nodes))
 
 
-def test_a_fleet_cut_in_two_finds_together_again(group: Group) -> None:
+def test_a_fleet_cut_in_two_finds_together_again(group: Fleet) -> None:
     group.start(4, link=True)
     until("all know all", group.all_know_all)
     assert group.link is not None
@@ -108,7 +107,7 @@
     until("all know all again", group.all_know_all)
 
 
-def test_two_services_that_disagree_stay_apart(group: Group) -> None:
+def test_two_services_that_disagree_stay_apart(group: Fleet) -> None:
     """2 and 3 are told of another service already: the old one's list, however new, is not theirs."""
     other = "127.0.0.1:10"
     newer = {**LIST, "rev": 99}
@@ -119,9 +118,8 @@
     assert not [e for n in (2, 3) for e in nodes[n].events("list") if e["version"] == 99]
 
 
-def test_a_stranger_changes_nothing(group: Group) -> None:
+def test_a_stranger_changes_nothing(group: Fleet) -> None:
     nodes = group.start(4, begin=False)
-    assert group.fleet is not None
     key = group.folder / "another.key"
     key.write_text("another key of sixteen bytes")
     nodes[3].operator["RUSHSADDLE_FLEET__KEY_FILE"] = str(key)
@@ -129,7 +127,7 @@
         node.begin()
     until("it has knocked", lambda: nodes[3].events("members") and all(
         group.states(n) for n in range(3)) and group.told(0)["strangers"] > 3)
-    assert all(group.fleet.told[3] not in group.states(n) for n in range(3))
+    assert all(group.places[3] not in group.states(n) for n in range(3))
 
 
 def lie(sock: socket.socket, listener: socket.socket, key: bytes, to: str, answer: Callable[[int], bytes],
@@ -154,11 +152,10 @@
         connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
 
 
-def test_a_member_that_lies_about_its_list_changes_nothing(group: Group) -> None:
+def test_a_member_that_lies_about_its_list_changes_nothing(group: Fleet) -> None:
     nodes = group.start(3, lists={0: LIST})
     until("all have the list", lambda: all(group.has_list(n) for n in range(3)))
-    assert group.fleet is not None
-    key, stamp = group.fleet.key, Stamp(NOBODY, 0, 1000)
+    key, stamp = group.key, Stamp(NOBODY, 0, 1000)
     bad: dict[str, Callable[[int], bytes]] = {
         "not sealed": lambda number: b"x" * 100,
         "another call": lambda number: pack(key, number + 1, stamp, {**LIST, "rev": 1000}),
@@ -167,7 +164,7 @@
             **LIST, "rev": 1000, "targets": [{**LIST["targets"][0], "endpoint": "nowhere"}],  # type: ignore
         }),
     }
-    to = group.fleet.own[1]
+    to = group.own[1]
 
     def refused(why: str) -> bool:
         lie(sock, own, key, to, bad[why], NOBODY)
@@ -192,7 +189,7 @@
     ({"SEED": "x"}, "fleet.seed: no such key; did you mean seeds?"),
 ])
 def test_settings_that_make_no_sense_end_the_start(
-    group: Group, settings: dict[str, str], fault: str
+    group: Fleet, settings: dict[str, str], fault: str
 ) -> None:
     (node,) = group.start(1, begin=False)
     node.operator |= {f"RUSHSADDLE_FLEET__{key}": value for key, value in settings.items()}
