--- a/tansygw/decide.py
+++ b/tansygw/decide.py
@@ -52,7 +52,10 @@
     WorkerList,
     WorkerState,
 )
-from .peers import Peers, encode, key_of
+from .lists import Asking
+from .pace import Pace
+from .peers import Peers, key_of
+from .settings import check
 
 # ---- named constants, all without dimension; times come from the settings or from what is observed
 
@@ -70,8 +73,6 @@
 CHECK_MORE = 2.0  # where workers are many, in proportion, up to so many times as much
 CHECK_RATE = 2.0  # top rate of checks by the spacing of new figures: a figure is seen soon after it is made
 CHECK_APART = 10_000  # microseconds between the checks that a worker may get from the whole group
-LIST_APART = 120_000  # microseconds that one list may cost the service: the whole group asks it
-LIST_PATIENCE = 1_000_000  # microseconds that a call may wait its turn there, whatever the service's limit
 CHECK_FLOOR = 0.3  # an empty worker is still checked at this share of the top rate
 PART_LEAST = 0.25  # our part is taken to be at least this share of an equal one: few own jobs tell little
 PASS_SIZE = 16  # held requests looked through for each tick of waiting
@@ -84,7 +85,6 @@
 ERRORS_SICK = 0.3  # errors a second that a worker reports; healthy ones have one in minutes
 COLD_BUDGET = 0.4  # of what a cold worker can stand in a window, this share is sent: jobs differ in size
 CROSS_WEIGHT = 32.0  # by so many times the price of crossing zones a worker elsewhere counts for less
-PACE_PRIOR = 5.0  # run times spread widely: so many of them weigh as much as what was believed before
 PACE_KEEP = 0.9  # a worker's pace is that of about its last ten jobs: slowness comes and goes
 
 SIZES_MOST = 16  # sizes of jobs that are told apart
@@ -112,23 +112,6 @@
     return None
 
 
-class Pace:
-    """How long jobs run here against all jobs of their class, as a logarithm; 0 is like all others."""
-
-    __slots__ = ("count", "keep", "total")
-
-    def __init__(self, keep: float) -> None:
-        self.keep = keep
-        self.count = self.total = 0.0
-
-    def add(self, against: float) -> None:
-        self.count = self.count * self.keep + 1.0
-        self.total = self.total * self.keep + against
-
-    def guess(self, prior: float = 0.0) -> float:
-        return (self.total + PACE_PRIOR * prior) / (self.count + PACE_PRIOR)
-
-
 class Attempt:
     __slots__ = ("live", "number", "outcome", "paced", "request", "sent", "started", "worker")
 
@@ -340,7 +323,7 @@
     """The decisions of one dispatcher.  Feed it events in order; it returns the actions to take."""
 
     def __init__(self, settings: Settings, seed: int) -> None:
-        _validate(settings)
+        check(settings)
         self.settings = settings
         self.random = Random(seed)
         self.now = 0
@@ -352,8 +335,7 @@
         self.due: list[tuple[int, int, Callable[[Any], None], Any]] = []
         self.due_count = 0
         self.wake: int | None = None
-        self.subscribed = False
-        self.list_faults = 0
+        self.asking = Asking(settings)
         self.logged = 0
         # running figures
         aims = [c.aim_us for c in settings.classes]
@@ -377,8 +359,6 @@
         self.changed = False  # something happened that may let a held request go
         self.start_us = float(settings.tick_us)  # delay of a start note where nothing waits
         self.peers = Peers(settings.group_size, settings.rank)
-        self.told: dict[int, tuple[int, int]] = {}
-        self.told_at = self.tell_next = 0
         self.size_us: dict[int, float] = {}  # slot time for each arrival, by the slots of the job
         self.wide_us = 0.0  # ... of those that take over half of a worker
         self.kept: frozenset[str] = frozenset()  # workers that narrow jobs leave to the wide ones
@@ -413,7 +393,8 @@
                 act(what)
         if self.held and self.changed and now_us >= self.next_pass:
             self._place_held()
-        if self.settings.limits.peer_messages and self.settings.group_size > 1 and now_us >= self.tell_next:
+        peers = self.peers
+        if self.settings.limits.peer_messages and peers.group_size > 1 and now_us >= peers.tell_next:
             self._tell_peers()
         while due and not due[0][3].live:
             heapq.heappop(due)
@@ -439,22 +420,17 @@
 
     def _tell_peers(self) -> None:
         """Say what we have out at each worker, as often as the price allows."""
-        settings = self.settings
         loads = {}
         for w in self.workers.values():
             if w.out > 0.0:
                 waiting = sum(a.request.slots for a in w.waiting)
                 loads[w.key] = ceil(w.out), min(ceil(waiting), ceil(w.out))
-        if loads == self.told and self.now < self.told_at + PEER_QUIET * self.busy_us:
-            return
-        others = settings.group_size - 1
-        words = encode(self.now, self.wide_us / self.gap_us, loads)
-        size = sum(map(len, words)) * others / 256
-        apart = size * settings.prices.peer / PEER_COST * self.gap_us
-        self.tell_next = self.now + int(max(settings.tick_us, apart))
-        self.told, self.told_at = loads, self.now
-        self.actions.extend(Tell(word) for word in words)
-        self._at(max(self.tell_next, self.now + PEER_QUIET * self.busy_us), self._noop, self)
+        settings, quiet = self.settings, PEER_QUIET * self.busy_us
+        apart = settings.prices.peer / PEER_COST * self.gap_us  # for each word that reaches one other
+        words = self.peers.tell(self.now, self.wide_us / self.gap_us, loads, quiet, settings.tick_us, apart)
+        if words:
+            self.actions.extend(Tell(word) for word in words)
+            self._at(max(self.peers.tell_next, self.now + quiet), self._noop, self)
 
     def _noop(self, _: object) -> None:
         """Only the step is wanted."""
@@ -468,18 +444,10 @@
 
     def _on_list(self, event: WorkerList) -> None:
         if event.kind is ListKind.FAILED:
-            if not self.subscribed:
-                return
-            self.subscribed = False
-            # A call that waited too long has cost its turn all the same: where all who failed ask again at
-            # once, the service works for calls that are given up, for as long as they go on.
-            most = self.settings.rules.must_ask_in_us
-            wait = max(most / 8, self._list_turns()) * 2**self.list_faults
-            self.list_faults = min(self.list_faults + 1, 3)
-            wait = min(wait, most) * (0.5 + self.random.random()) / 2
-            self._at(self.now + max(self.settings.tick_us, wait), self._subscribe, self)
+            if self.asking.subscribed:
+                self._at(self.now + self.asking.failed(self.random.random()), self._subscribe, self)
             return
-        self.list_faults = 0
+        self.asking.told()
         self.changed = True
         named = set()
         for entry in event.entries:
@@ -492,9 +460,8 @@
         self.ready = [w for w in self.workers.values() if w.ready]
         if not self.arrivals:
             self.last_arrival = self.now  # the silence before the first request counts from the start
-        if event.kind is ListKind.SAVED and self.settings.list_on_request and not self.subscribed:
-            # After a mass restart all ask: what does not fit into a call's patience is spread.
-            spread = self._list_turns() - LIST_PATIENCE
+        if event.kind is ListKind.SAVED and self.settings.list_on_request and not self.asking.subscribed:
+            spread = self.asking.spread_us
             if spread > 0.0:
                 self._at(self.now + spread * self.random.random(), self._subscribe, self)
             else:
@@ -504,17 +471,12 @@
         """More workers than our own checks can keep fresh figures of."""
         return len(self.ready) > MANY
 
-    def _list_turns(self) -> float:
-        """How long the service of lists may need for one call of every dispatcher."""
-        return float(self.settings.group_size * LIST_APART)
-
     @property
     def live(self) -> bool:
         return True
 
     def _subscribe(self, _: object) -> None:
-        if not self.subscribed:
-            self.subscribed = True
+        if self.asking.asks():
             self.actions.append(Subscribe())
 
     def _on_entry(self, entry: WorkerEntry) -> None:
@@ -1221,24 +1183,3 @@
         request = self.requests.get(event.request)
         if request is not None and request.live:
             self._close(request)
-
-
-def _validate(settings: Settings) -> None:
-    """Settings that contradict themselves are refused, by the name of the field."""
-
-    def need(good: bool, name: str, why: str) -> None:
-        if not good:
-            raise ValueError(f"{name}: {why}")
-
-    need(bool(settings.classes), "classes", "at least one class is needed")
-    for n, c in enumerate(settings.classes):
-        need(c.deadline_us > 0, f"classes[{n}].deadline_us", "must be above 0")
-        need(c.aim_us > 0, f"classes[{n}].aim_us", "must be above 0")
-        windowed = c.effect is not Effect.DEDUP or c.window_us > 0
-        need(windowed, f"classes[{n}].window_us", "a dedup class needs one")
-    need(settings.tick_us > 0, "tick_us", "must be above 0")
-    need(settings.group_size > 0, "group_size", "must be above 0")
-    need(settings.limits.max_attempts > 0, "limits.max_attempts", "must be above 0")
-    rules = settings.rules
-    need(0 < rules.cold_share <= 1, "rules.cold_share", "must be above 0 and at most 1")
-    need(rules.fall_multiple > 0, "rules.fall_multiple", "must be above 0")
--- /dev/null
+++ b/tansygw/lists.py
@@ -0,0 +1,45 @@
+"""When a dispatcher asks for the list of workers.  No input or output, no clock, no draw of its own."""
+
+from __future__ import annotations
+
+from .interface import Settings
+
+LIST_APART = 120_000  # microseconds that one list may cost the service: the whole group asks it
+LIST_PATIENCE = 1_000_000  # microseconds that a call may wait its turn there, whatever the service's limit
+
+
+class Asking:
+    """Whether a subscription is wanted or there, and when the next one is due."""
+
+    __slots__ = ("faults", "most_us", "subscribed", "tick_us", "turns_us")
+
+    def __init__(self, settings: Settings) -> None:
+        self.most_us = settings.rules.must_ask_in_us
+        self.tick_us = settings.tick_us
+        self.turns_us = float(settings.group_size * LIST_APART)  # one call of every dispatcher
+        self.subscribed = False
+        self.faults = 0
+
+    @property
+    def spread_us(self) -> float:
+        """After a mass restart all ask: what does not fit into a call's patience is spread."""
+        return self.turns_us - LIST_PATIENCE
+
+    def asks(self) -> bool:
+        """A call is due: True where it is to be made."""
+        before, self.subscribed = self.subscribed, True
+        return not before
+
+    def told(self) -> None:
+        self.faults = 0
+
+    def failed(self, draw: float) -> float:
+        """A call failed or the subscription broke: the next is due so long after.
+
+        A call that waited too long has cost its turn all the same: where all who failed ask again at once,
+        the service works for calls that are given up, for as long as they go on.
+        """
+        self.subscribed = False
+        wait: float = max(self.most_us / 8, self.turns_us) * 2**self.faults
+        self.faults = min(self.faults + 1, 3)
+        return max(self.tick_us, min(wait, self.most_us) * (0.5 + draw) / 2)
--- a/tansygw/peers.py
+++ b/tansygw/peers.py
@@ -113,6 +113,23 @@
         self.peers: dict[int, Peer] = {}
         self.sums: Loads = {}
         self.wide = 0.0
+        self.told: Loads = {}
+        self.told_at = self.tell_next = 0
+
+    def tell(
+        self, now: int, wide: float, loads: Loads, quiet: float, tick_us: int, apart_us: float
+    ) -> list[str]:
+        """The words to say now; none while nothing has changed and the last ones are not long ago.
+
+        ``apart_us``: what one word of full length to one other must be apart from the next one.
+        """
+        if loads == self.told and now < self.told_at + quiet:
+            return []
+        words = encode(now, wide, loads)
+        size = sum(map(len, words)) * (self.group_size - 1) / WORD_MOST
+        self.tell_next = now + int(max(tick_us, size * apart_us))
+        self.told, self.told_at = loads, now
+        return words
 
     def hear(self, now: int, sender: int, text: str) -> bool:
         """Take a word; True where it changed something."""
--- a/tansygw/settings.py
+++ b/tansygw/settings.py
@@ -127,3 +127,24 @@
     if not isinstance(load, dict):
         return None
     return {str(names.get(name, name)): value for name, value in load.items()}
+
+
+def check(settings: i.Settings) -> None:
+    """Settings that contradict themselves are refused, by the name of the field."""
+
+    def need(good: bool, name: str, why: str) -> None:
+        if not good:
+            raise ValueError(f"{name}: {why}")
+
+    need(bool(settings.classes), "classes", "at least one class is needed")
+    for n, c in enumerate(settings.classes):
+        need(c.deadline_us > 0, f"classes[{n}].deadline_us", "must be above 0")
+        need(c.aim_us > 0, f"classes[{n}].aim_us", "must be above 0")
+        windowed = c.effect is not i.Effect.DEDUP or c.window_us > 0
+        need(windowed, f"classes[{n}].window_us", "a dedup class needs one")
+    need(settings.tick_us > 0, "tick_us", "must be above 0")
+    need(settings.group_size > 0, "group_size", "must be above 0")
+    need(settings.limits.max_attempts > 0, "limits.max_attempts", "must be above 0")
+    rules = settings.rules
+    need(0 < rules.cold_share <= 1, "rules.cold_share", "must be above 0 and at most 1")
+    need(rules.fall_multiple > 0, "rules.fall_multiple", "must be above 0")
