First calls for the list come within half of MustAskInUs, however large the group

At fault: the spread of first calls over group_size * LIST_APART - LIST_PATIENCE (22 s for 186 nodes) in tansygw/lists.py, before in Dispatcher._on_list, which no setting bounded.

Change: the spread is at most half of must_ask_in_us, which is where the clause lies. Test: 5, 60, 200 and 1,024 dispatchers; it fails for 200 and 1,024 without the mend.

--- a/tansygw/lists.py
+++ b/tansygw/lists.py
@@ -22,8 +22,13 @@
 
     @property
     def spread_us(self) -> float:
-        """After a mass restart all ask: what does not fit into a call's patience is spread."""
-        return self.turns_us - LIST_PATIENCE
+        """After a mass restart all ask: what does not fit into a call's patience is spread.
+
+        However large the group, over no more than half of ``most_us``: who has not asked for so long counts
+        as told of all that is older, without grace, be it a leaving whose return is not told yet.  The start
+        of the process, counted from its first instant, and a call that waits its turn need the other half.
+        """
+        return min(self.turns_us - LIST_PATIENCE, self.most_us / 2)
 
     def asks(self) -> bool:
         """A call is due: True where it is to be made."""
--- /dev/null
+++ b/tests/test_lists.py
@@ -0,0 +1,33 @@
+"""When the list is asked for, where it is not pushed."""
+
+from __future__ import annotations
+
+import pytest
+
+from tansygw.interface import Rules, TimerFired
+from tests.world import SECOND, Drive, settings
+
+
+@pytest.mark.parametrize("group", [5, 60, 200, 1024])
+@pytest.mark.parametrize("most", [3 * SECOND, 10 * SECOND])
+def test_the_first_call_comes_before_the_list_of_old_counts_as_told(group: int, most: int) -> None:
+    """The first call of 200 nodes was spread over 23 s, where from 10 s after the start each change counts as
+    told: who drained then got work of nodes that had not asked yet."""
+    given = settings(
+        list_on_request=True, group_size=group, rules=Rules(drain_grace_us=SECOND, must_ask_in_us=most)
+    )
+    at = []
+    for seed in range(40):
+        drive = Drive(given, workers=0, seed=seed)
+        due = 0
+        for _ in range(40):
+            if drive.dispatcher.asking.subscribed:
+                break
+            assert drive.dispatcher.due
+            due = drive.dispatcher.due[0][0]
+            drive.now = due
+            drive.step(TimerFired())
+        at.append(due)
+    assert max(at) <= most / 2
+    if group == 1024:  # ... and still not all at once
+        assert max(at) - min(at) > most / 4
