What a silent watch missed is asked for before it counts as told; no older list undoes a leaving

By the terms a watch that fell silent counts as heard 6 s later; the node found it dead after 3.5 s, told the decisions "failed", and these waited for 2.5 to 7.5 s in a group of 200 before they asked again: past 6 s and the grace in most draws. Where lists are pushed, what the agent has counts at once, and calls came up to 1 s apart: past a grace of 0.5 s. One entry without sense, or an object written over several lines, kept a whole list from being heard, for as long as the service repeated it. An older list undid a leaving. A branch drawn before the word was written after it where its connection came up late.

Change: net/again.py decides (no I/O) when to ask after a silence, a call without an answer or a move, and the node asks by itself until the list is heard: first within the time that is left, at once and often where nothing was reached, less and less often where the service answers that it is overbooked. Pushed: calls at most a quarter of the grace apart. core/leaving.py remembers who left. Entries without sense are left out with one line; who they say is leaving is heard. Objects may have indents. A branch to who left meanwhile is not written. The log names who leaves, and the rule's figures at the start.

--- a/rushsaddle/core/names.py
+++ b/rushsaddle/core/names.py
@@ -12,6 +12,7 @@
 LIST_MOST = 4 * 1024 * 1024  # bytes of one list, whoever tells it
 NOWHERE: Address = ("", 0)  # an entry that is gone need not tell where it was
 STATES = {s.value: s for s in WorkerState}
+LEAVING = (WorkerState.DRAINING.value, WorkerState.GONE.value)
 
 
 def address(text: Any) -> Address:
@@ -49,18 +50,42 @@
     def of(cls, zones: list[Any], kinds: list[Any]) -> Names:
         return cls({name: n for n, name in enumerate(zones)}, {name: n for n, name in enumerate(kinds)})
 
-    def entries(self, targets: Any) -> list[tuple[WorkerEntry, Address]]:
-        """The entries of a list; raises ValueError, KeyError or TypeError on what is none."""
+    def entries(self, targets: Any, unread: list[str] | None = None) -> list[tuple[WorkerEntry, Address]]:
+        """The entries of a list; raises ValueError, KeyError or TypeError on what is none.
+
+        With ``unread`` an entry that makes no sense is left out and the reason goes there: it must not keep
+        the rest from being heard.  One that leaves is heard whatever else is wrong with it.
+        """
         found = []
         for target in targets:
-            state = STATES.get(target["state"])
-            if state is None:  # a state of later making: the entry is skipped
-                continue
-            where = address(target["endpoint"]) if state is not WorkerState.GONE else NOWHERE
-            entry = WorkerEntry(
-                str(target["uid"]), state, self.zones.get(target.get("az"), -1),
-                self.kinds.get(target.get("model"), -1), int(target.get("pod_group") or 0),
-                float(target.get("capacity_hint", 1.0)), int(target.get("boot_ms") or 0) * 1000,
-            )
-            found.append((entry, where))
+            try:
+                entry = self._entry(target)
+            except (AttributeError, KeyError, OverflowError, TypeError, ValueError) as error:
+                if unread is None:
+                    raise
+                unread.append(f"{type(error).__name__}: {error}")
+                entry = _leaving(target)
+            if entry is not None:
+                found.append(entry)
         return found
+
+    def _entry(self, target: Any) -> tuple[WorkerEntry, Address] | None:
+        state = STATES.get(target["state"])
+        if state is None:  # a state of later making: the entry is skipped
+            return None
+        # Who leaves is sent nothing new: where it was need not be told.
+        told = state is WorkerState.READY or target.get("endpoint")
+        where = address(target["endpoint"]) if told and state is not WorkerState.GONE else NOWHERE
+        entry = WorkerEntry(
+            str(target["uid"]), state, self.zones.get(target.get("az"), -1),
+            self.kinds.get(target.get("model"), -1), int(target.get("pod_group") or 0),
+            float(target.get("capacity_hint", 1.0)), int(target.get("boot_ms") or 0) * 1000,
+        )
+        return entry, where
+
+
+def _leaving(target: Any) -> tuple[WorkerEntry, Address] | None:
+    """What is left of an entry that makes no sense: who it says is leaving."""
+    if isinstance(target, dict) and isinstance(target.get("uid"), str) and target.get("state") in LEAVING:
+        return WorkerEntry(target["uid"], WorkerState.DRAINING), NOWHERE
+    return None
--- a/rushsaddle/net/discovery.py
+++ b/rushsaddle/net/discovery.py
@@ -2,38 +2,34 @@
 
 from __future__ import annotations
 
+import errno
 import select
 import socket
 from collections.abc import Callable
-from math import inf
 from typing import Any, Protocol
 
 import h11
-import orjson
 
 from tansygw.interface import Event, ListKind, WorkerList
 
+from ..core.leaving import Leaving
 from ..core.log import Log
 from ..core.loop import Coroutine, Loop, Task, Wait
 from ..core.names import LIST_MOST, Address, Names
-from .http import Lines, Stream
+from .again import Again
+from .http import Objects, Stream
 from .nexthop import NextHops
 
 ANSWER_US = 5_000_000  # a call may wait its turn for so long
-MOVE_US = 4_000_000  # a service that is new must be heard within this: it is asked again by itself until then
-AGAIN_US = (200_000, 1_000_000)  # ... after at most so long at first, doubled each time up to the second
-AGAIN_LEAST_US = 50_000  # ... and never sooner
 SILENCE_US = 3_500_000  # an empty line comes every 2 s: a watch this silent is dead
 
 
-def again_us(failed: int, draw: float) -> int:
-    """How long to wait after so many calls in a row that failed; ``draw`` is from 0 to 1.
+class Silent(TimeoutError):
+    """A call or a watch that says nothing more: the way there is cut, or the machine is gone."""
 
-    All nodes are told of the move at once: those that fail together must not come back together, and less
-    often each time, for a call that waits too long has cost the service its turn all the same.
-    """
-    most = min(AGAIN_US[0] << min(failed - 1, 8), AGAIN_US[1])
-    return AGAIN_LEAST_US + int(draw * (most - AGAIN_LEAST_US))
+
+class Unreached(ConnectionError):
+    """No connection: nothing was asked of the service."""
 
 
 class Follower(Protocol):
@@ -58,7 +54,7 @@
 class Discovery:
     def __init__(
         self, loop: Loop, log: Log, put: Callable[[Event], None], hops: NextHops, names: Names,
-        address: Address, connect_timeout_us: int, draw: Callable[[], float], pushed: bool = False,
+        address: Address, connect_timeout_us: int, draw: Callable[[], float], again: Again, leaving: Leaving,
     ) -> None:
         self.loop = loop
         self.log = log
@@ -68,15 +64,14 @@
         self.address = address
         self.connect_timeout_us = connect_timeout_us
         self.draw = draw  # from 0 to 1, each node its own
-        self.pushed = pushed  # the list comes unasked: there is always a watch, and it costs nobody anything
+        self.again = again
+        self.leaving = leaving
         self.follower: Follower | None = None
         self.version = 0
-        self._failed = 0  # calls in a row, since the service was replaced
         self._owed = 0  # calls without an answer
         self._following = False  # the open watch has told its first list
         self._moves = 0  # how often the service was replaced
         self._new = False  # the service has told nothing yet: it might read our version as one of its own
-        self._hurry_until_us: int | None = None  # it was replaced just now and has not answered yet
         self._task: Task | None = None
 
     @property
@@ -103,9 +98,9 @@
             self._moves += 1
             if self.follower is not None:
                 self.follower.moved(f"{address[0]}:{address[1]}")
-            self._failed = 0
             self._new = True
-            self._hurry_until_us = self.loop.now_us() + MOVE_US
+            self.leaving.moved()
+            self.again.moved(self.loop.now_us())
             self._wake()
 
     def _wake(self) -> None:
@@ -113,25 +108,26 @@
             self.loop.wake(self._task)
 
     def _run(self) -> Coroutine[None]:
+        again = self.again
         while True:
-            while not self._owed and self._hurry_until_us is None and not self.pushed:
+            # A pushed list comes unasked: there is always a watch, and it costs nobody anything.
+            while not (self._owed or again.missing or again.pushed):
                 yield Wait()
             try:
                 yield from self._watch(self._moves)
             except Exception as error:
                 self.log.error("discovery failed", error)
-                until = inf if self.pushed else self._hurry_until_us
-                if until is not None:
-                    self._failed += 1
-                    again = self.loop.now_us() + again_us(self._failed, self.draw())
-                    if again < until:
-                        yield Wait(until_us=again)
-                        continue
-                    self._hurry_until_us = None
-                # Each call is answered by one event; the end of an answered watch is told, too.
-                for _ in range(max(1, self._owed)):
-                    self.put(WorkerList(ListKind.FAILED))
-                self._owed = 0
+                reached = not isinstance(error, Unreached | Silent)
+                wait = again.wait_us(self.loop.now_us(), reached, self.draw())
+                if wait is None:
+                    # Each call is answered by one event; the end of an answered watch is told, too.
+                    for _ in range(max(1, self._owed)):
+                        self.put(WorkerList(ListKind.FAILED))
+                    self._owed = 0
+                    continue
+                until, moves = self.loop.now_us() + wait, self._moves
+                while moves == self._moves and self.loop.now_us() < until:
+                    yield Wait(until_us=until)  # a further call waits with this one, a move does not
 
     def _watch(self, move: int) -> Coroutine[None]:
         """Follow the list until the watch breaks, or the service is replaced."""
@@ -144,14 +140,18 @@
                 if move != self._moves:
                     return
                 if self.loop.now_us() >= until:
-                    raise TimeoutError("no connection in time")
+                    raise Unreached("no connection in time")
+            code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if code:
+                raise Unreached(errno.errorcode.get(code, "connect"))
             if self.follower is not None:
                 self.follower.asked()
             target = "/v1/servers?watch=1" + ("" if self._new else f"&after={self.version}")
             request = h11.Request(method="GET", target=target, headers=[("Host", "discovery")])
             stream.put([request, h11.EndOfMessage()])
-            patience = self.loop.now_us() + ANSWER_US
-            lines = Lines(LIST_MOST)
+            heard = self.loop.now_us()
+            patience = heard + ANSWER_US
+            objects = Objects(LIST_MOST)
             while move == self._moves:
                 if not (yield from stream.flush(patience)):
                     event = None
@@ -159,20 +159,21 @@
                     event = yield from stream.next_event(patience)
                 if event is None:  # woken by a further call or a move, or too late
                     if self.loop.now_us() >= patience:
-                        raise TimeoutError("silent")
+                        self.again.silent(heard)
+                        raise Silent("nothing more was said")
                 elif isinstance(event, h11.Response):
                     if event.status_code != 200:
                         raise ConnectionError(f"status {event.status_code}")
                 elif isinstance(event, h11.Data):
-                    for line in lines.feed(bytes(event.data)):
-                        if line.strip():
-                            self._tell(orjson.loads(line), ListKind.CHANGES)
-                            for _ in range(self._owed - 1):
-                                self.put(WorkerList(ListKind.CHANGES, (), self.version))
-                            self._following, self._owed, self._hurry_until_us = True, 0, None
-                            self._failed = 0
+                    for fields in objects.feed(bytes(event.data)):
+                        self._tell(fields, ListKind.CHANGES)
+                        for _ in range(self._owed - 1):
+                            self.put(WorkerList(ListKind.CHANGES, (), self.version))
+                        self._following, self._owed = True, 0
+                        self.again.heard()
                     if self._following:
-                        patience = self.loop.now_us() + SILENCE_US
+                        heard = self.loop.now_us()
+                        patience = heard + SILENCE_US
                 elif not isinstance(event, h11.InformationalResponse):
                     raise ConnectionError("the watch ended")
         finally:
@@ -189,15 +190,31 @@
         """News of the list, ``by`` another node or by the service itself."""
         if kind is ListKind.CHANGES and fields.get("all"):
             kind = ListKind.COMPLETE
-        entries = self.names.entries(fields["targets"])
+        unread: list[str] = []
+        entries = self.names.entries(fields["targets"], unread)
+        if unread:
+            self.log.event("entries of the list left out", count=len(unread), first=unread[0])
+            fields = {**fields, "targets": [t for t in fields["targets"] if _named(t)]}
         if self.follower is not None and not by:
             if kind is ListKind.SAVED:
                 self.follower.saved(fields)
             elif not self.follower.told(fields, kind is ListKind.COMPLETE):
                 raise ConnectionError("an older list than one that was passed on: asked again")
-        self.version = int(fields["rev"])
+        version = int(fields["rev"])
+        if version < self.version and not self._new:
+            self.log.event("an older list", version=version, after=self.version)
+        self.version = version
         self._new = False
+        before = set(self.leaving.told)
+        entries = self.leaving.take(self.loop.now_us(), entries, kind is not ListKind.CHANGES, version)
         self.hops.learn(kind is not ListKind.CHANGES, entries)
-        passed = {"by": by} if by else {}
-        self.log.event("list", kind=kind, version=self.version, entries=len(entries), **passed)
+        more: dict[str, Any] = {"by": by} if by else {}
+        leaving = [uid for uid in self.leaving.told if uid not in before]
+        if leaving:
+            more["leaving"] = leaving
+        self.log.event("list", kind=kind, version=self.version, entries=len(entries), **more)
         self.put(WorkerList(kind, tuple(entry for entry, _ in entries), self.version))
+
+
+def _named(target: Any) -> bool:
+    return isinstance(target, dict) and isinstance(target.get("uid"), str) and "state" in target
--- a/rushsaddle/net/http.py
+++ b/rushsaddle/net/http.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 import h11
+import orjson
 
 from ..core.loop import Coroutine, Loop, Wait
 from ..core.ring import Ring
@@ -37,6 +38,7 @@
 ))
 NUMBER = re.compile(rb"[0-9]+(\.[0-9]*)?([eE][-+]?[0-9]+)?")
 HEAD_END = re.compile(rb"\n\r?\n")
+TEXT = re.compile(rb'"(?:[^"\\]|\\.)*"')  # a string in JSON
 ID = re.compile(rb"[!-+\--~]{1,128}")  # what can be seen, without a comma: those join repeated headers
 
 
@@ -261,3 +263,45 @@
         if len(rest) > self.most:
             raise LineTooLong(f"a line of over {self.most} bytes")
         yield from map(bytes, lines)
+
+
+class Objects:
+    """Whole JSON objects out of pieces: one a line, or one written with indents over many lines.
+
+    An empty line is the sign of life between two objects: inside of one it shows that its rest is lost.
+    """
+
+    __slots__ = ("_depth", "_held", "_lines", "_size")
+
+    def __init__(self, most: int) -> None:
+        self._lines = Lines(most)
+        self._held: list[bytes] = []
+        self._depth = self._size = 0
+
+    def feed(self, data: bytes) -> Iterator[Any]:
+        """Raises orjson.JSONDecodeError or LineTooLong."""
+        for line in self._lines.feed(data):
+            if not self._held:
+                if not line.strip():
+                    continue
+                try:
+                    yield orjson.loads(line)
+                    continue
+                except orjson.JSONDecodeError:
+                    if _opened(line) <= 0:
+                        raise
+            self._held.append(line)
+            self._size += len(line)
+            if self._size > self._lines.most:
+                raise LineTooLong(f"an object of over {self._lines.most} bytes")
+            self._depth += _opened(line)
+            if self._depth <= 0 or not line.strip():
+                text = b"\n".join(self._held)
+                self._held, self._depth, self._size = [], 0, 0
+                yield orjson.loads(text)
+
+
+def _opened(line: bytes) -> int:
+    """How many more brackets the line opens than it closes."""
+    bare = TEXT.sub(b"", line)
+    return bare.count(b"{") + bare.count(b"[") - bare.count(b"}") - bare.count(b"]")
--- a/rushsaddle/net/nexthop.py
+++ b/rushsaddle/net/nexthop.py
@@ -18,6 +18,7 @@
 from tansygw.interface import CheckResult, Event, Outcome, Progress, Report, WorkerEntry, WorkerState
 from tansygw.settings import named_report
 
+from ..core.leaving import Leaving
 from ..core.log import Log
 from ..core.loop import Coroutine, Loop, Wait
 from ..core.names import Address
@@ -37,6 +38,10 @@
     """Cancelled, or the time is up."""
 
 
+class Leaves(Exception):
+    """The next hop was told to be leaving after the branch was drawn."""
+
+
 class BadAnswer(Exception):
     """The next hop's answer makes no sense."""
 
@@ -111,7 +116,7 @@
 class NextHops:
     def __init__(
         self, loop: Loop, log: Log, put: Callable[[Event], None], budget: int, connect_timeout_us: int,
-        idle_us: int, report_names: dict[str, str], on_sent: Callable[[], None],
+        idle_us: int, report_names: dict[str, str], on_sent: Callable[[], None], leaving: Leaving,
     ) -> None:
         self.loop = loop
         self.log = log
@@ -122,6 +127,7 @@
         self.keep = Keep(idle_us)
         self.report_names = report_names
         self.on_sent = on_sent  # told of each branch that is written whole
+        self.leaving = leaving
         self.hops: dict[str, Hop] = {}
         self.open = 0
         self.probing = True
@@ -241,6 +247,8 @@
             if code:
                 raise OSError(code, errno.errorcode.get(code, "connect"))
             connection.connected = True
+        if isinstance(patience, Branch) and self.leaving.since(patience.worker) is not None:
+            raise Leaves("told while the connection came up")  # nothing is written: it has never run
         stream.put(events())
         while not (yield from stream.flush(patience.until_us)):
             self._check_patience(patience)
--- a/rushsaddle/node.py
+++ b/rushsaddle/node.py
@@ -18,12 +18,14 @@
 
 from . import config
 from .core.decider import Decider
+from .core.leaving import Leaving
 from .core.lifecycle import Lifecycle, Phase
 from .core.log import Log
 from .core.loop import Clock, Coroutine, Loop, Wait
 from .core.names import Address
 from .core.tally import Tally
 from .net import listener
+from .net.again import Again
 from .net.caller import Callers, Class
 from .net.discovery import Discovery
 from .net.nexthop import NextHops
@@ -94,14 +96,16 @@
         )
         budget = _budget(told.sockets)
         connect_us = limits.connect_timeout_us or 250_000
+        leaving = Leaving()
         self.hops = NextHops(
             self.loop, self.log, self.decider.put, budget, connect_us, told.conn_idle_us // 2,
-            told.report_names, self.tally.sent,
+            told.report_names, self.tally.sent, leaving,
         )
         self.decider.hops = self.hops
         self.discovery = Discovery(
             self.loop, self.log, self.decider.put, self.hops, told.names, told.discovery, connect_us,
-            Random(told.seed).random, not settings.list_on_request,
+            Random(told.seed).random, Again(not settings.list_on_request, settings.rules.drain_grace_us),
+            leaving,
         )
         self.decider.subscribe = self.discovery.subscribe
         self.peers: PeerLink | None = None
@@ -170,7 +174,11 @@
         self.life.ready()
         if self.takeover is not None:
             self.takeover.serving()
-        self.log.event("ready", listen=listen.name, door=door, next_hops=len(self.hops.hops))
+        rules = self.told.settings.rules
+        self.log.event(
+            "ready", listen=listen.name, door=door, next_hops=len(self.hops.hops),
+            drain_grace_us=rules.drain_grace_us, must_ask_in_us=rules.must_ask_in_us,
+        )
 
     def _later(
         self, listen: listener.Listener, door: str | None, longest_us: int, able: Callable[[], bool]
--- a/tests/play.py
+++ b/tests/play.py
@@ -6,7 +6,7 @@
     c opens | d opens door | a accepts h1 | w accepts discovery      the connection gets the first name
     c sends, c gets                                   the bytes follow in lines that begin with ``|``
     door says STATUS\\n gets ACK serving\\n            a whole call at the operators' door
-    c closes | c resets | c ends its sending | c sees the end | h1 stops | h1 fills
+    c closes | c resets | c ends its sending | c sees the end | h1 stops | h1 fills | h1 empties
     config moves to discovery2 | config names KEY JSON | config breaks
     pause 0.5 | signal TERM | node ends 0 | node says TEXT | node dies | node starts
     set operator waiting.store "{folder}"             a setting of the operator, by the environment
@@ -201,6 +201,13 @@
                     self.open[f"{name} filler {n}"] = sock = socket.socket()
                     sock.setblocking(False)
                     sock.connect_ex(("127.0.0.1", self.ports[name]))
+            case [name, "empties"]:  # those that filled it are taken: connections come up again
+                self.listeners[name].listen(64)
+                self.listeners[name].settimeout(0.2)
+                with suppress(TimeoutError):
+                    while True:
+                        self.open[f"{name} taken {len(self.open)}"] = self.listeners[name].accept()[0]
+                self.listeners[name].settimeout(PATIENCE)
             case ["config", "moves", "to", name]:
                 self.configure(json.dumps({**self.told, "discovery": f"127.0.0.1:{self.ports[name]}"}))
             case ["config", "names", name, *value]:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from rushsaddle.net.discovery import AGAIN_LEAST_US, AGAIN_US, MOVE_US, again_us
+from rushsaddle.net.again import AGAIN_LEAST_US, AGAIN_US, MOVE_US, again_us
 
 
 @given(st.integers(1, 10_000), st.floats(0, 1))
--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,157 @@
+"""Nothing new goes to who was announced as leaving: when a list is asked for, and what undoes a leaving."""
+
+from __future__ import annotations
+
+import json
+from itertools import pairwise
+from random import Random
+from typing import Any
+
+import orjson
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from rushsaddle.core.leaving import Leaving
+from rushsaddle.core.names import Names
+from rushsaddle.net.again import AGAIN_US, MOVE_US, TOLD_US, TURN_US, Again
+from rushsaddle.net.http import Objects
+from tansygw.interface import ListKind, Subscribe, TimerFired, WorkerEntry, WorkerList, WorkerState
+from tests.world import MS, SECOND, Drive
+
+NAMES = Names.of(["north"], ["fast"])
+
+
+def calls(again: Again, since: int, reached: bool, until: int, seed: int) -> list[int]:
+    """When the service is asked after a watch that is found silent at ``since`` and every call fails."""
+    draw, now, found = Random(seed).random, since + 3500 * MS, []
+    again.silent(since)
+    wait = again.wait_us(now, False, draw())
+    while wait is not None and now + wait < until:
+        now += wait
+        found.append(now)
+        wait = again.wait_us(now, reached, draw())
+    return found
+
+
+@pytest.mark.parametrize("group", [50, 200, 1024])
+def test_a_watch_that_fell_silent_is_opened_anew_before_what_it_missed_counts_as_told(group: int) -> None:
+    """Before, the decisions waited for up to three quarters of ``must_ask_in_us`` after 3.5 s of silence."""
+    first = []
+    for seed in range(group):
+        asked = calls(Again(False, 2 * SECOND), 0, False, 20 * SECOND, seed)
+        first.append(asked[0])
+        apart = [b - a for a, b in pairwise(asked)]
+        assert max(apart) <= AGAIN_US[1]  # a way that opens again is found at once
+    assert max(first) <= TOLD_US - TURN_US
+    worst = max(sum(a <= at < a + 100 * MS for at in first) for a in first)
+    assert worst <= 6 + group / 8  # ... not in one wave
+
+
+def test_an_overbooked_service_is_asked_less_and_less_often() -> None:
+    asked = [at for seed in range(200) for at in calls(Again(False, SECOND), 0, True, 60 * SECOND, seed)]
+    late = [at for at in asked if at >= 30 * SECOND]
+    assert len(late) / 30 <= 200 / 3  # a second, of the whole fleet
+
+
+def test_where_lists_are_pushed_a_call_comes_well_within_the_grace() -> None:
+    """What the agent has at its return counts at once: calls up to a second apart broke a grace of 0.5 s."""
+    again = Again(True, 500 * MS)
+    waits = [again.wait_us(n * SECOND, False, 0.99) for n in range(20)]
+    assert all(wait is not None and wait <= 125 * MS for wait in waits)
+
+
+def test_without_silence_the_decisions_say_when_and_a_move_asks_until_it_is_heard() -> None:
+    again = Again(False, SECOND)
+    assert again.wait_us(0, True, 0.5) is None
+    again.moved(10 * SECOND)
+    now, waits = 10 * SECOND, 0
+    while now < 60 * SECOND:
+        wait = again.wait_us(now, True, 0.5)
+        assert wait is not None and (now > 10 * SECOND + MOVE_US or wait <= AGAIN_US[1])
+        now, waits = now + wait, waits + 1
+    assert waits < 30 and again.missing
+    again.heard()
+    assert not again.missing and again.wait_us(now, True, 0.5) is None
+
+
+def listed(uid: str, state: WorkerState, started: int = 0) -> Any:
+    return WorkerEntry(uid, state, started_us=started), ("127.0.0.1", 1)
+
+
+ROW = st.tuples(st.sampled_from("abc"), st.sampled_from(list(WorkerState)), st.integers(0, 2))
+ROWS = st.lists(ROW, max_size=4, unique_by=lambda row: row[0])
+LISTS = st.lists(st.tuples(st.integers(0, 6), st.booleans(), ROWS), max_size=12)
+
+
+@given(LISTS)
+def test_no_older_list_undoes_a_leaving(lists: list[Any]) -> None:
+    leaving, newest = Leaving(), 0
+    for now, (version, whole, rows) in enumerate(lists):
+        before = dict(leaving.told)
+        took = leaving.take(now, [listed(*row) for row in rows], whole, version)
+        if version < newest:
+            for entry, _ in took:
+                if entry.worker in before and entry.state is WorkerState.READY:
+                    assert entry.started_us > before[entry.worker][1]
+            assert all(uid in leaving.told or any(
+                e.worker == uid and e.started_us > told[1] for e, _ in took) for uid, told in before.items())
+        newest = max(newest, version)
+
+
+def test_it_comes_back_by_a_newer_list_or_a_later_start_or_another_service() -> None:
+    leaving = Leaving()
+    ready, draining = WorkerState.READY, WorkerState.DRAINING
+    for name in "abc":
+        leaving.take(0, [listed(name, draining, 5)], False, 9)
+    assert leaving.take(1, [listed("a", ready, 5)], False, 8)[0][0].state is draining
+    assert leaving.take(2, [listed("a", ready, 6)], False, 8)[0][0].state is ready
+    assert leaving.take(3, [listed("b", ready, 5)], False, 10)[0][0].state is ready
+    assert leaving.since("c") == 0 and leaving.since("a") is None
+    leaving.moved()
+    leaving.take(4, [listed("c", ready, 5)], True, 1)
+    assert leaving.since("c") is None and leaving.since("a") == 4  # absent from a whole list
+
+
+def test_an_entry_without_sense_keeps_no_other_from_being_heard() -> None:
+    good = {"uid": "a", "endpoint": "127.0.0.1:1", "state": "draining"}
+    bad: list[Any] = [
+        {"uid": "b", "endpoint": "nowhere", "state": "ready"}, 7, {"uid": 1, "state": "ready"},
+        {"uid": "c", "endpoint": "nowhere", "state": "draining"}, {"uid": "d", "state": "draining"},
+        {"uid": "e", "endpoint": "127.0.0.1:1", "state": "gone", "boot_ms": "x"},
+    ]
+    unread: list[str] = []
+    found = {entry.worker: entry.state for entry, _ in NAMES.entries([*bad, good], unread)}
+    draining = WorkerState.DRAINING
+    assert found == {"a": draining, "c": draining, "d": draining, "e": draining}
+    assert len(unread) == 5
+    with pytest.raises((KeyError, TypeError, ValueError)):
+        NAMES.entries(bad)
+
+
+def test_a_word_of_leaving_binds_at_once() -> None:
+    drive = Drive(workers=3)
+    drive.step(WorkerList(ListKind.CHANGES, (WorkerEntry("w0", WorkerState.DRAINING),), 2))
+    assert all(s.worker != "w0" for _ in range(60) for s in drive.request(after=MS)[1])
+    assert not [a for a in drive.step(TimerFired()) if isinstance(a, Subscribe)]
+
+
+TEXT = st.text(alphabet='{}[]"\\\n a', max_size=5)
+INNER = st.recursive(
+    st.integers() | TEXT, lambda i: st.lists(i, max_size=3) | st.dictionaries(TEXT, i, max_size=3),
+    max_leaves=8,
+)
+
+
+@given(st.lists(INNER.map(lambda i: {"targets": i}), max_size=4), st.booleans(), st.integers(1, 40))
+def test_objects_are_whole_however_written_and_cut(found: list[Any], indented: bool, size: int) -> None:
+    indent = 2 if indented else None
+    text = b"\n".join(json.dumps(one, indent=indent).encode() + b"\n" for one in found)
+    objects = Objects(10_000)
+    assert [one for n in range(0, len(text), size) for one in objects.feed(text[n:n + size])] == found
+
+
+def test_a_torn_object_ends_at_the_next_sign_of_life() -> None:
+    """Held for its rest it would swallow all that comes after it."""
+    with pytest.raises(orjson.JSONDecodeError):
+        list(Objects(10_000).feed(b'{"rev": 1, "targets": [\n{"uid": "a"},\n\n{"rev": 2, "targets": []}\n'))
