A new process hears the agent that pushes lists before it takes callers; silence tested with processes

Need: where lists are pushed, what the agent has counts as told from the first moment of a new process. The node took callers first and heard the agent some milliseconds later, or much later on a busy core; its own file may name who has left as ready.

Change: in a pushed deployment callers are taken once the agent has told its list, cannot be had, or after 250 ms. Tests: the order of the first lines of a process; three nodes whose list service falls silent while a server leaves and one node is killed and started again, pushed and asked for.

--- a/measure/leaving.py
+++ b/measure/leaving.py
@@ -9,7 +9,6 @@
 
 import argparse
 import json
-import os
 import socket
 import statistics
 import tempfile
@@ -27,6 +26,7 @@
 ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%b'
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 LIFE_S = 0.5  # between the empty lines of a watch
+LOOK_S = 0.02
 
 
 def plays(kind: str) -> None:
@@ -91,6 +91,8 @@
 
     def __init__(self, changed: bytes) -> None:
         self.changed = changed
+        self.silences = 0
+        self.silent = False
         self.sockets = [socket.create_server(("127.0.0.1", 0), backlog=128) for _ in range(2)]
         self.service, self.sender = (f"127.0.0.1:{sock.getsockname()[1]}" for sock in self.sockets)
         for sock, serve in zip(self.sockets, (self._watch, self._job), strict=True):
@@ -104,10 +106,25 @@
     def _watch(self, sock: socket.socket) -> None:
         with suppress(OSError), sock:
             sock.recv(65536)
-            sock.sendall(HEAD + b"%x\r\n%b\r\n" % (len(self.changed), self.changed))
-            while True:
-                time.sleep(LIFE_S)
-                sock.sendall(b"1\r\n\n\r\n")
+            mine, sent, life = self.silences, b"", 0.0
+            while mine == self.silences and not self.silent:
+                if sent != self.changed:
+                    head = b"" if sent else HEAD
+                    sock.sendall(head + b"%x\r\n%b\r\n" % (len(self.changed), self.changed))
+                    sent, life = self.changed, time.monotonic()
+                elif time.monotonic() > life + LIFE_S:
+                    sock.sendall(b"1\r\n\n\r\n")
+                    life = time.monotonic()
+                time.sleep(LOOK_S)
+            sock.recv(1)  # nothing more is said on it: it is for the other side to find that out
+
+    def hush(self) -> None:
+        """Every watch falls silent for good, and calls get no answer until ``speak``."""
+        self.silences += 1
+        self.silent = True
+
+    def speak(self) -> None:
+        self.silent = False
 
     def _job(self, sock: socket.socket) -> None:
         with suppress(OSError), sock:
@@ -121,11 +138,6 @@
             sock.close()
 
 
-def cpu_s(pid: int) -> float:
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
 def sized(count: int, folder: Path, jobs: int = 40) -> dict[str, Any]:
     """A node of a group of ``count`` starts with ``count`` servers, hears that half leave, and serves."""
     names = [f"s-{n:08x}" for n in range(count)]
@@ -143,13 +155,13 @@
     node = Node(folder, stands.service, {}, sockets=1024, settings=settings, known=known)
     try:
         pid = node.process.pid
-        ready, ready_cpu = memory_mb(pid), cpu_s(pid)
+        ready, ready_cpu = memory_mb(pid), node.cpu_s()
         until = time.monotonic() + 30.0
         while not (lists := [e for e in node.events("list") if e["version"] == 2]):
             if time.monotonic() > until:
                 raise RuntimeError("the changed list was not heard")
             time.sleep(0.01)
-        heard_cpu, answers = cpu_s(pid), []
+        heard_cpu, answers = node.cpu_s(), []
         for n in range(jobs):
             caller = HTTPConnection("127.0.0.1", node.port, timeout=30.0)
             caller.request("POST", "/single-text", b"job", {"X-Request-ID": f"r{n}", "X-Timeout": "5"})
@@ -163,7 +175,7 @@
             "servers": count, "bytes": len(stands.changed), "entries": lists[0]["entries"],
             "leaving": len(lists[0]["leaving"]), "ready_mb": ready, "mb": memory_mb(pid),
             "start_s": ready_cpu,
-            "list_ms": 1e3 * (heard_cpu - ready_cpu), "job_ms": 1e3 * (cpu_s(pid) - heard_cpu) / jobs,
+            "list_ms": 1e3 * (heard_cpu - ready_cpu), "job_ms": 1e3 * (node.cpu_s() - heard_cpu) / jobs,
             "served": answers.count(200), "jobs": jobs,
             "to_leaving": len(used & leaving),
         }
--- a/rushsaddle/net/discovery.py
+++ b/rushsaddle/net/discovery.py
@@ -79,6 +79,11 @@
         """The list is as the service tells it."""
         return self._following
 
+    @property
+    def heard(self) -> bool:
+        """The service has told its list, or cannot be had now."""
+        return self._following or self.again.failed > 0
+
     def start(self, known: Any) -> None:
         """What was known before this start is the first event."""
         self._tell(known, ListKind.SAVED)
--- a/rushsaddle/node.py
+++ b/rushsaddle/node.py
@@ -45,6 +45,7 @@
 SPARE = 40  # descriptors for the loop, the log, discovery, and sockets on their way out
 LOOK_US = 20_000  # between looks at what is left, or not yet there
 LIST_US = 2_500_000  # a process that replaces another waits so long for a list that is not of old
+AGENT_US = 250_000  # an agent that pushes lists answers at once, or not for long: nobody waits longer for it
 GC = (50_000, 20, 100)  # few cycles are made; collecting often costs more than it frees
 
 
@@ -160,6 +161,9 @@
             self.loop.spawn(self._later(listen, door, LIST_US, lambda: self.discovery.following))
         elif self.fleet is not None:
             self.loop.spawn(self._later(listen, door, self.fleet.patience_us, self.fleet.listed))
+        elif self.discovery.again.pushed:
+            # What the agent has counts as told from the first moment of this process, whatever the file says.
+            self.loop.spawn(self._later(listen, door, AGENT_US, lambda: self.discovery.heard))
         else:
             self._serve(listen, door)
         self.loop.run()
