--- a/tests/test_cut.py
+++ b/tests/test_cut.py
@@ -33,7 +33,7 @@
 def test_the_service_is_silent_and_meanwhile_a_server_leaves_and_a_node_is_killed(
     discovery: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """The decisions would ask again after minutes: the nodes do by themselves, the new process at its start."""
+    """The decisions would ask again after minutes: nodes do by themselves, a new process at its start."""
     rules = {**SETTINGS["Rules"], "MustAskInUs": 2_000_000_000}
     limits = {**SETTINGS["Limits"], "MayProbe": False}
     for key, value in (("Rules", rules), ("Limits", limits), ("Discovery", discovery)):
