The log names who has come back, so that branches after the word can be counted

Need: measure.leaving counted branches to senders that had left and come back as branches after the word: a list's line named who leaves only. Change: the line names who is back, too, and the command takes them out.

--- a/measure/leaving.py
+++ b/measure/leaving.py
@@ -65,9 +65,10 @@
                 if began is not None:
                     first.append(at - began)
                     began = None
-                if event["kind"] == "complete" or event["entries"]:
-                    for uid in event.get("leaving", ()):
-                        told.setdefault(uid, at)
+                for uid in event.get("back", ()):
+                    told.pop(uid, None)
+                for uid in event.get("leaving", ()):
+                    told.setdefault(uid, at)
             elif event["event"] == "transaction":
                 for uid, _, drawn_ms in event["branches"]:
                     drawn = at - event["ms"] / 1000 + drawn_ms / 1000
--- a/rushsaddle/net/discovery.py
+++ b/rushsaddle/net/discovery.py
@@ -214,9 +214,13 @@
         entries = self.leaving.take(self.loop.now_us(), entries, kind is not ListKind.CHANGES, version)
         self.hops.learn(kind is not ListKind.CHANGES, entries)
         more: dict[str, Any] = {"by": by} if by else {}
-        leaving = [uid for uid in self.leaving.told if uid not in before]
-        if leaving:
-            more["leaving"] = leaving
+        after = self.leaving.told
+        for name, uids in (
+            ("leaving", [uid for uid in after if uid not in before]),
+            ("back", [uid for uid in before if uid not in after]),
+        ):
+            if uids:
+                more[name] = uids
         self.log.event("list", kind=kind, version=self.version, entries=len(entries), **more)
         self.put(WorkerList(kind, tuple(entry for entry, _ in entries), self.version))
 
