Where no load reports come, jobs that may wait follow the node's own running ones

At fault: Dispatcher._enough_wait. Own jobs without a start note may be our part of 1.5 a worker; the part is measured by reports and stays 1 / group_size without any, so each of 186 nodes, the busiest too, sent nothing while a single job of its own waited anywhere. Small groups have parts of a third and do not show it as much.

Change: without reports own running jobs stand for the part: half as many may wait, at least one. Over the group that is at most half of the slots and one a node, whatever its size. Sites with reports or without start notes decide as before.

Test: 0, 4 and 10 running jobs in a group of 200; it fails without the change.

--- a/tansygw/decide.py
+++ b/tansygw/decide.py
@@ -95,6 +95,7 @@
 PEER_QUIET = 2.0  # times a job takes: so long after its last word a dispatcher speaks though nothing changed
 PEER_KEEP = 8.0  # ... and so long after it nobody counts on it any more
 PAYS = 0.5  # of the mean worth for time: a job worth less for its time gets no second copy
+WAITS_OWN = 0.5  # jobs that wait for each one that runs, where no figures tell what our part is
 WAITS = 1.5  # jobs that wait at a worker, from all dispatchers together
 SPREAD = 1.0  # variance of the logarithm of run times before any were seen: they spread widely
 SPREAD_LEAST = 0.04
@@ -634,8 +635,10 @@
         """Own jobs that wait anywhere are our part of those that may."""
         if not self.settings.tells_start:
             return False
-        waits = sum(len(w.waiting) for w in self.ready)
-        return waits >= max(1.0, WAITS * self.part * len(self.ready))
+        waits, most = sum(len(w.waiting) for w in self.ready), WAITS * self.part * len(self.ready)
+        if self.settings.report_source is ReportSource.NOWHERE:  # our part is not to be measured: own
+            most = max(most, WAITS_OWN * (sum(w.out for w in self.ready) - waits))  # running jobs tell of it
+        return waits >= max(1.0, most)
 
     def _pace(self, attempt: Attempt, run_us: float) -> None:
         """Count a run time, told at its end or foretold by its first progress note."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -244,3 +244,14 @@
     assert drive.request()[1] == [] and not drive.dispatcher.ready
     drive.step(WorkerList(ListKind.COMPLETE, tuple(entries), 11))
     assert drive.request(after=100 * MS)[1]
+
+
+@pytest.mark.parametrize("running", [0, 4, 10])
+def test_where_no_figures_come_jobs_may_wait_by_own_running_ones(running: int) -> None:
+    """A busy one of 200 took its part for a 200th: one job that waited anywhere held back all the others."""
+    drive = Drive(fleet_settings(group_size=200, report_source=ReportSource.NOWHERE, tells_start=True), GROUP)
+    for _ in range(running):
+        request, sent = drive.request(after=MS)
+        drive.started(request, 0, sent[0].worker)
+    waits = [len(drive.request(after=MS)[1]) for _ in range(12)]
+    assert sum(waits) == max(1, running / 2)  # ... and they stay bounded
