No attempt begins once its caller has left, or after repeats are dropped no more

Ruled out: another rack (the draw asks may_send), unsafe class (no second attempt there), node.py's clock. At fault: decide.py may_send compares the time of the draw; nexthop.py _ask wrote whenever the connection was up.

Mends: - Send carries until when it may be written (begin_by_us); the socket's side looks before the first byte and after each wait until the last.

--- a/rushsaddle/core/decider.py
+++ b/rushsaddle/core/decider.py
@@ -193,7 +193,7 @@
         if transaction is None:  # it ended and the decisions were told: nothing is left to count it under
             self.log.event("send for an unknown request", request=action.request, worker=action.worker)
             return
-        branch = transaction.branch(action.worker, action.timeout_us, now)
+        branch = transaction.branch(action.worker, action.timeout_us, now, action.begin_by_us)
         if branch.number >= self.max_attempts:
             branch.end(now, Outcome.VOID)
         elif transaction.gate is not None:
@@ -204,7 +204,7 @@
     def begin(self, branch: Branch, now: int) -> None:
         """Carry a branch out, or end it as one that was never sent."""
         assert self.hops is not None
-        if branch.transaction.over or branch.until_us <= now or not self.hops.start(branch):
+        if not branch.may_begin(now) or branch.until_us <= now or not self.hops.start(branch):
             branch.end(now, Outcome.VOID)
 
     def _finish(self, number: int, answer: Answer) -> None:
--- a/rushsaddle/core/transaction.py
+++ b/rushsaddle/core/transaction.py
@@ -55,14 +55,19 @@
 class Branch:
     """One attempt: it ends with exactly one outcome."""
 
-    __slots__ = ("_stop", "began_us", "cancelled", "number", "outcome", "transaction", "until_us", "worker")
+    __slots__ = ("_stop", "began_us", "begin_by_us", "cancelled", "number", "outcome", "transaction",
+                 "until_us", "worker")
 
-    def __init__(self, transaction: Transaction, number: int, worker: str, now: int, until_us: int) -> None:
+    def __init__(
+        self, transaction: Transaction, number: int, worker: str, now: int, until_us: int,
+        begin_by_us: int | None = None,
+    ) -> None:
         self.transaction = transaction
         self.number = number
         self.worker = worker
         self.began_us = now
         self.until_us = until_us
+        self.begin_by_us = begin_by_us  # later it must not be written
         self.cancelled = False
         self.outcome: Outcome | None = None
         self._stop: Callable[[], None] = lambda: None
@@ -75,6 +80,16 @@
             self.cancelled = True
             self._stop()
 
+    def look(self) -> None:
+        """Its transaction is over: what is not written yet must not be."""
+        if self.outcome is None:
+            self._stop()
+
+    def may_begin(self, now: int) -> bool:
+        """It may still be written: somebody waits for it, and a repeat would be known as one."""
+        late = self.begin_by_us is not None and now >= self.begin_by_us
+        return not (self.cancelled or self.transaction.over or late)
+
     def note(self, progress: Progress, value: float) -> None:
         transaction = self.transaction
         note = AttemptNote(transaction.number, self.number, self.worker, progress, value)
@@ -122,12 +137,14 @@
         self.answer: Answer | None = None
         self.over = False  # answered, or the caller has left
 
-    def branch(self, worker: str, timeout_us: int, now: int) -> Branch:
+    def branch(
+        self, worker: str, timeout_us: int, now: int, begin_by_us: int | None = None
+    ) -> Branch:
         """A new branch, numbered in the order of the sends."""
         until = self.deadline_us
         if timeout_us:
             until = min(until, now + timeout_us)
-        branch = Branch(self, len(self.branches), worker, now, until)
+        branch = Branch(self, len(self.branches), worker, now, until, begin_by_us)
         self.branches.append(branch)
         self.out += 1
         return branch
@@ -138,13 +155,17 @@
             self.over = True
             self.answer = answer
             self.on_answer()
-            if self.on_over is not None:
-                self.on_over(self)
+            self._end()
 
     def gone(self) -> None:
         """The caller has left: nothing more is owed."""
         if not self.over:
             self.over = True
             self.tell(RequestGone(self.number))
-            if self.on_over is not None:
-                self.on_over(self)
+            self._end()
+
+    def _end(self) -> None:
+        for branch in self.branches:
+            branch.look()
+        if self.on_over is not None:
+            self.on_over(self)
--- a/rushsaddle/net/caller.py
+++ b/rushsaddle/net/caller.py
@@ -25,6 +25,7 @@
 from . import giveway
 from .http import (
     BODY_MOST,
+    LINGER_US,
     NO_DESCRIPTOR,
     BadRequest,
     Header,
@@ -350,6 +351,11 @@
         body = yield from self._body(stream, until_us)
         received = self.loop.now_us()
         name = headers[b"x-request-id"].decode("ascii")
+        if desk is None or wish is None:
+            # It may have left long before its bytes were read: behind others on this leg, or in the backlog.
+            if (yield Wait(stream.sock.fileno(), select.EPOLLRDHUP, received)) & HANGUP:
+                self.log.event("left before its request was read", id=name)
+                return False
         if name in self.decider.names or (desk is not None and desk.known(name)):
             self.decider.tally.early(cls.number, 409)
             raise BadRequest(409, "X-Request-ID: the id of an open request", unread=False)
@@ -398,7 +404,7 @@
                 raise BadRequest(408, "the request did not come whole")
         body = bytearray()
         while not isinstance(event := (yield from stream.next_event(until_us)), h11.EndOfMessage):
-            if event is None:
+            if event is None or self.loop.now_us() >= until_us:
                 raise BadRequest(408, "the request did not come whole")
             body += event.data
             if len(body) > BODY_MOST:
@@ -453,8 +459,7 @@
             if self.loop.now_us() >= until:
                 return False
         if stream.h11.our_state is h11.MUST_CLOSE:
-            if not leg.evicted:
-                yield from stream.linger()
+            yield from stream.linger(0 if leg.evicted else LINGER_US)
             return False
         while stream.h11.their_state is h11.SEND_BODY:  # the end of a request without a body
             yield from stream.next_event(until)
--- a/rushsaddle/net/http.py
+++ b/rushsaddle/net/http.py
@@ -82,7 +82,7 @@
     woken; the caller looks at why and goes on or stops.
     """
 
-    __slots__ = ("_rest", "ended", "h11", "heard_us", "incoming", "loop", "outgoing", "sock")
+    __slots__ = ("_rest", "ended", "h11", "heard_us", "incoming", "loop", "outgoing", "received", "sock")
 
     def __init__(self, loop: Loop, sock: socket.socket, role: type[h11.CLIENT] | type[h11.SERVER]) -> None:
         self.loop = loop
@@ -92,6 +92,7 @@
         self.outgoing = Ring(RING_MOST)
         self.ended = False  # the other side has ended its sending
         self.heard_us = loop.now_us()  # when the last byte came, or the connection was made
+        self.received = 0  # bytes
         self._rest = b""  # what the outgoing ring had no room for yet
 
     def close(self) -> None:
@@ -104,12 +105,9 @@
             event = self.h11.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            mask = yield Wait(self.sock.fileno(), select.EPOLLIN, until_us)
-            if not mask:
-                return None
-            self._receive()
-            if self.ended or len(self.incoming):
-                self.h11.receive_data(self.incoming.read())
+            if not (yield from self._more(until_us)):
+                event = self.h11.next_event()
+                return None if event is h11.NEED_DATA else event
 
     def head(self, until_us: int) -> Coroutine[tuple[Any, bytes]]:
         """The first event of a request, and the very bytes that it began with: h11 tidies some away."""
@@ -118,19 +116,29 @@
             event = self.h11.next_event()
             if event is not h11.NEED_DATA:
                 return event, raw
-            mask = yield Wait(self.sock.fileno(), select.EPOLLIN, until_us)
-            if not mask:
-                return None, raw
-            self._receive()
-            if self.ended or len(self.incoming):
-                self.h11.receive_data(self.incoming.read())
+            if not (yield from self._more(until_us)):
+                raw = self.h11.trailing_data[0]
+                event = self.h11.next_event()
+                return None if event is h11.NEED_DATA else event, raw
+
+    def _more(self, until_us: int) -> Coroutine[bool]:
+        """Wait for more and hand it to h11; False where the time is up or the task was woken, also where one
+        byte after another keeps coming.  What came in that very moment is handed over with the rest.
+        """
+        mask = yield Wait(self.sock.fileno(), select.EPOLLIN, until_us)
+        self._receive()
+        if self.ended or len(self.incoming):
+            self.h11.receive_data(self.incoming.read())
+        return bool(mask) and self.loop.now_us() < until_us
 
     def _receive(self) -> None:
         """Read what is there, up to the ring's bound; more stays with the system, which slows the sender."""
-        self.heard_us = self.loop.now_us()
         with suppress(BlockingIOError):
             while not self.ended and self.incoming.room:
-                self.ended = not self.incoming.receive(self.sock)
+                count = self.incoming.receive(self.sock)
+                self.ended = not count
+                self.received += count
+                self.heard_us = self.loop.now_us()
                 if not self.incoming.full:
                     return
 
@@ -138,8 +146,8 @@
         """Make the bytes of these events; flush sends them."""
         self._rest += b"".join(self.h11.send(event) or b"" for event in events)
 
-    def flush(self, until_us: int) -> Coroutine[bool]:
-        """True once the last byte is handed to the system."""
+    def flush(self, until_us: int, once: bool = False) -> Coroutine[bool]:
+        """True once the last byte is handed to the system; with ``once`` its caller looks after each wait."""
         while True:
             if self._rest:
                 self._rest = self._rest[self.outgoing.write(self._rest) :]
@@ -148,7 +156,8 @@
             try:
                 self.outgoing.send(self.sock)
             except BlockingIOError:
-                if not (yield Wait(self.sock.fileno(), select.EPOLLOUT, until_us)):
+                mask = yield Wait(self.sock.fileno(), select.EPOLLOUT, until_us)
+                if not mask or once or self.loop.now_us() >= until_us:
                     return False
 
     @property
@@ -166,16 +175,22 @@
             pass
         return True
 
-    def linger(self) -> Coroutine[None]:
-        """End the sending and read the rest: closing at once would reset the answer away.  Some go on
-        sending without end, so time and bytes are bounded, and a wake ends it.
+    def linger(self, longest_us: int = LINGER_US) -> Coroutine[None]:
+        """End the sending and read the rest: closing over unread bytes would reset the answer away.  Some go
+        on sending without end, so time and bytes are bounded, and a wake ends it.  What is read here is
+        dropped: there is no way left to answer it.
         """
-        until, left = self.loop.now_us() + LINGER_US, LINGER_MOST
+        until, left = self.loop.now_us() + longest_us, LINGER_MOST
         self.sock.shutdown(socket.SHUT_WR)
-        while (yield Wait(self.sock.fileno(), select.EPOLLIN, until)):
-            count = self.sock.recv_into(SINK)
-            left -= count
-            if not count or left < 0 or self.loop.now_us() >= until:
+        mask = 1
+        while mask or self.readable():
+            mask = yield Wait(self.sock.fileno(), select.EPOLLIN, until)
+            with suppress(BlockingIOError):
+                count = self.sock.recv_into(SINK)
+                left -= count
+                if not count or left < 0:
+                    return
+            if self.loop.now_us() >= until and not self.readable():
                 return
 
 
--- a/rushsaddle/net/nexthop.py
+++ b/rushsaddle/net/nexthop.py
@@ -26,6 +26,7 @@
 from .http import BODY_MOST, NO_DESCRIPTOR, Lines, Request, Stream
 
 LINE_MOST = 8 * BODY_MOST  # a result in JSON may take six bytes for one
+ANSWER_MOST = 2 * LINE_MOST  # of a whole answer: the result, and all that is told on the way to it
 FINISH_US = 500_000  # after the last object the rest of the answer must come this soon to keep the connection
 SWEEP_US = 1_000_000
 KEEP_LEAST_US = 50_000  # connections idle for less are used again whatever happens
@@ -42,6 +43,10 @@
     """The next hop was told to be leaving after the branch was drawn."""
 
 
+class Unwanted(Exception):
+    """Before it was written whole its caller left, another branch answered, or the window was over."""
+
+
 class BadAnswer(Exception):
     """The next hop's answer makes no sense."""
 
@@ -55,6 +60,9 @@
         self.until_us = until_us
         self.cancelled = False
 
+    def may_begin(self, now: int) -> bool:
+        return True
+
 
 class Hop:
     __slots__ = ("address", "idle", "listed", "uid")
@@ -101,7 +109,8 @@
 class Connection:
     """A connection to a next hop."""
 
-    __slots__ = ("address", "answered", "connected", "idle_since_us", "idle_us", "stream", "written")
+    __slots__ = ("address", "answered", "connected", "idle_since_us", "idle_us", "received", "stream",
+                 "written")
 
     def __init__(self, stream: Stream, address: Address) -> None:
         self.stream = stream
@@ -110,6 +119,7 @@
         self.idle_since_us = 0
         self.idle_us: int | None = None  # idle for so long before the present request; None: it is new
         self.answered = False  # the present request has the head of its answer
+        self.received = 0  # bytes that had come before the present request
         self.written = False  # the last byte of the present request is handed to the system
 
 
@@ -188,6 +198,7 @@
             # it never ran; such a connection is readable.
             if connection.idle_us <= limit and not connection.stream.readable():
                 connection.written = connection.answered = False
+                connection.received = connection.stream.received
                 return connection
             self._discard(connection)
         if self.open >= self.budget and not self.evict():
@@ -230,6 +241,12 @@
         if patience.cancelled or self.loop.now_us() >= patience.until_us:
             raise GaveUp
 
+    def _check_wanted(self, patience: Branch | Probe) -> None:
+        """Asked at every turn until the last byte is written, which makes it an attempt."""
+        self._check_patience(patience)
+        if not patience.may_begin(self.loop.now_us()):
+            raise Unwanted("before it was written")
+
     def _ask(
         self, connection: Connection, events: Callable[[], list[Any]], patience: Branch | Probe
     ) -> Coroutine[Any]:
@@ -240,7 +257,7 @@
             code = stream.sock.connect_ex(connection.address)
             if code == errno.EINPROGRESS:
                 while not (yield Wait(stream.sock.fileno(), select.EPOLLOUT, until)):
-                    self._check_patience(patience)
+                    self._check_wanted(patience)
                     if self.loop.now_us() >= until:
                         raise TimeoutError("no connection in time")
                 code = stream.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
@@ -249,9 +266,10 @@
             connection.connected = True
         if isinstance(patience, Branch) and self.leaving.since(patience.worker) is not None:
             raise Leaves("told while the connection came up")  # nothing is written: it has never run
+        self._check_wanted(patience)
         stream.put(events())
-        while not (yield from stream.flush(patience.until_us)):
-            self._check_patience(patience)
+        while not (yield from stream.flush(patience.until_us, once=True)):
+            self._check_wanted(patience)
         connection.written = True
         if isinstance(patience, Branch):
             self.on_sent()
@@ -264,11 +282,15 @@
                 raise ConnectionError("no answer")
 
     def _next(self, connection: Connection, patience: Branch | Probe) -> Coroutine[Any]:
+        """The next event of the answer.  It may come without end: time and bytes are looked at each time."""
+        stream = connection.stream
         while True:
-            event = yield from connection.stream.next_event(patience.until_us)
+            self._check_patience(patience)
+            if stream.received - connection.received > ANSWER_MOST:
+                raise BadAnswer(f"an answer of over {ANSWER_MOST} bytes")
+            event = yield from stream.next_event(patience.until_us)
             if event is not None:
                 return event
-            self._check_patience(patience)
 
     def _stale(self, hop: Hop, idle_us: int) -> None:
         """A kept connection broke under a request: the others of this next hop may be as dead."""
@@ -282,8 +304,8 @@
         """What an attempt that ended without a word of its own comes to."""
         if patience.cancelled:
             return Outcome.WITHDRAWN
-        if not connection.written:
-            return Outcome.UNREACHABLE
+        if not connection.written:  # cut off in the middle of it, too: the next hop begins with the last byte
+            return Outcome.VOID if isinstance(error, Unwanted) else Outcome.UNREACHABLE
         if isinstance(error, GaveUp):
             return Outcome.TIMED_OUT
         if isinstance(error, OSError) or connection.stream.ended:
@@ -355,7 +377,7 @@
             # The last line may lack its end, where the answer ends with it.
             for line in lines.feed(bytes(event.data) if more else b"\n"):
                 if line.strip() and branch.outcome is None:
-                    self._object(branch, payload.id, line)
+                    self._object(branch, payload.id, line, connection.idle_us is None)
             if not more:
                 ended = isinstance(event, h11.EndOfMessage)
                 if not ended or branch.outcome is None:
@@ -363,15 +385,16 @@
                 return connection.stream.done
         return (yield from self._finished(connection))
 
-    def _object(self, branch: Branch, id: str, line: bytes) -> None:
-        """Take one object of the answer; raises BadAnswer."""
+    def _object(self, branch: Branch, id: str, line: bytes, new: bool) -> None:
+        """Take one object of the answer; raises BadAnswer.  ``new``: the connection carried none before."""
         try:
             fields = orjson.loads(line)
         except orjson.JSONDecodeError as error:
             raise BadAnswer(f"not JSON: {error}") from None
         if not isinstance(fields, dict):
             raise BadAnswer("not an object")
-        if fields.get("id", id) != id:  # another's result must not reach this caller
+        # Another's result must not reach this caller, a second answer that comes late on a kept connection.
+        if fields.get("id", id if new else None) != id:
             raise BadAnswer("the answer of another request")
         state, load = fields.get("state"), self._report(fields.get("load"))
         now = self.loop.now_us()
@@ -382,7 +405,9 @@
             if isinstance(share, int | float):
                 branch.note(Progress.SHARE_DONE, float(share))
         elif state == "done":
-            result = fields.get("result", "")
+            result = fields.get("result")
+            if result is None:  # an empty body in its place would be an answer that nobody gave
+                raise BadAnswer("done without a result")
             branch.end(
                 now, Outcome.SUCCESS, load,
                 result.encode() if isinstance(result, str) else orjson.dumps(result),
@@ -397,7 +422,7 @@
     def _finished(self, connection: Connection) -> Coroutine[bool]:
         """Read the end of an answer whose outcome is known; True where the connection may be kept."""
         until = self.loop.now_us() + FINISH_US
-        while self.loop.now_us() < until:
+        while self.loop.now_us() < until and connection.stream.received - connection.received <= ANSWER_MOST:
             event = yield from connection.stream.next_event(until)
             if isinstance(event, h11.EndOfMessage):
                 return connection.stream.done
--- a/tansygw/decide.py
+++ b/tansygw/decide.py
@@ -171,9 +171,7 @@
             return True
         if earlier and self.effect is not Effect.DEDUP:
             return False
-        first: int | None = None
         for e in earlier:
-            first = e.sent_us if first is None else min(first, e.sent_us)
             if info.group is DedupGroup.ZONE and e.zone != worker.zone:
                 return False
             if info.group is DedupGroup.CELL and e.cell != worker.cell:
@@ -183,13 +181,24 @@
                 continue
             if self.effect is not Effect.DEDUP:
                 return False
-            if first is None:
-                first = a.sent
             if info.group is DedupGroup.ZONE and a.worker.zone != worker.zone:
                 return False
             if info.group is DedupGroup.CELL and a.worker.cell != worker.cell:
                 return False
-        return first is None or now < first + info.window_us - settings.tick_us
+        return not self.expired(now, settings)
+
+    def expired(self, now: int, settings: Settings) -> bool:
+        """It may have run, and the time in which a repeat does no harm is over."""
+        by = self.begin_by(settings)
+        return by is not None and now >= by
+
+    def begin_by(self, settings: Settings) -> int | None:
+        """Until when one more attempt may be written: later a repeat of what may have run is not dropped."""
+        if self.effect is not Effect.DEDUP:
+            return None
+        ran = [e.sent_us for e in self.earlier]
+        ran += [a.sent for a in self.attempts if a.outcome not in NEVER_RAN]
+        return min(ran) + self.info.window_us - settings.tick_us if ran else None
 
     def attempts_left(self, settings: Settings) -> int:
         most = min(settings.limits.max_attempts, self.terms.max_attempts or settings.limits.max_attempts)
@@ -869,6 +878,7 @@
         now = self.now
         if not (request.may_send(worker, now, self.settings) and self._may_get(worker, request)):
             return False
+        begin_by = request.begin_by(self.settings)
         attempt = Attempt(request, len(request.attempts), worker, now)
         request.attempts.append(attempt)
         request.out += 1
@@ -876,7 +886,7 @@
         if worker.faults:
             worker.trial = attempt
         worker.cold_credit -= request.slots * self.class_us[request.cls]
-        self.actions.append(Send(request.id, worker.name, request.terms.attempt_us))
+        self.actions.append(Send(request.id, worker.name, request.terms.attempt_us, begin_by))
         wait = START_MULTIPLE * self.busy_us
         if self.settings.tells_start:
             worker.waiting[attempt] = None
@@ -917,7 +927,8 @@
             if not request.live:
                 continue
             chance = self._in_time(request)
-            if request.info.late_value <= 0.0 and chance < GIVE_UP and request.may_refuse():
+            hopeless = request.info.late_value <= 0.0 and chance < GIVE_UP and request.may_refuse()
+            if hopeless or request.expired(self.now, self.settings):
                 self._answer(request)
             else:
                 held.append((self._rank(request, chance), request))
@@ -1177,7 +1188,7 @@
                 self.copies -= 1.0
             if self._place(request, attempt.worker):
                 return
-            if attempt.outcome in NEVER_RAN:
+            if attempt.outcome in NEVER_RAN and not request.expired(self.now, self.settings):
                 self._hold(request)
                 return
         self._answer(request)
--- a/tansygw/interface.py
+++ b/tansygw/interface.py
@@ -318,6 +318,7 @@
     request: int
     worker: str
     timeout_us: int = 0  # 0: until the client's deadline
+    begin_by_us: int | None = None  # later it must not be written: a repeat would no longer be dropped
 
 
 @dataclass(slots=True)
