Callers fill no descriptors beyond what the system gives, and the list goes before them

The budget was counted from limits.sockets alone. Where the system's limit is lower, idle callers took all there were: the call for the list failed with EMFILE, was taken for one that the service had answered, and the next came by the decisions' wait (test_idle_callers_fill_the_descriptors_while_discovery_is_down: 64 descriptors, 70 idle callers, the untouched program does not ask again).

--- a/rushsaddle/node.py
+++ b/rushsaddle/node.py
@@ -4,6 +4,7 @@
 
 import gc
 import os
+import resource
 import select
 import signal
 import socket
@@ -42,6 +43,7 @@
 
 Settle = Callable[[], "tuple[Operator, Source] | None"]
 
+BUDGET_LEAST = 4
 SPARE = 40  # descriptors for the loop, the log, discovery, and sockets on their way out
 LOOK_US = 20_000  # between looks at what is left, or not yet there
 LIST_US = 2_500_000  # a process that replaces another waits so long for a list that is not of old
@@ -53,8 +55,13 @@
 
 
 def _budget(sockets: int) -> int:
-    """As many caller legs as branches, probes and idle next hops."""
-    return (sockets - SPARE) // 2
+    """As many caller legs as branches, probes and idle next hops.  Where the system gives fewer descriptors
+    than the configuration says, callers must not fill them: discovery and next hops need theirs.
+    """
+    system, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if system != resource.RLIM_INFINITY:
+        sockets = min(sockets, system)
+    return max(BUDGET_LEAST, (sockets - SPARE) // 2)
 
 
 def _signals() -> socket.socket:
