--- a/tansygw/decide.py
+++ b/tansygw/decide.py
@@ -5,16 +5,15 @@
 figures; an even draw where all read full.  Everything else here either keeps the four rules or is a
 departure for a stated symptom.
 
-Order of reading: Worker and Request own the facts, Dispatcher.step runs events, _draw is the rule,
-_may_get and Request.may_send are the two gates that every send passes.
+Order of reading: Worker (worker.py) and Request own the facts, Dispatcher.step runs events, _draw is the
+rule, _may_get and Request.may_send are the two gates that every send passes.
 """
 
 from __future__ import annotations
 
 import heapq
-from collections import deque
 from collections.abc import Callable, Sequence
-from math import ceil, erfc, exp, inf, isfinite, log, sqrt
+from math import ceil, erfc, exp, inf, log, sqrt
 from operator import itemgetter
 from random import Random
 from typing import Any
@@ -54,12 +53,12 @@
 )
 from .lists import Asking
 from .pace import Pace
-from .peers import Peers, key_of
+from .peers import Peers
 from .settings import check
+from .worker import PACE_KEEP, Worker, number
 
 # ---- named constants, all without dimension; times come from the settings or from what is observed
 
-LAG = 1.0  # a new figure is taken to be this share of the usual report spacing old when first seen
 SPACING_STEP = 0.1  # weight of the newest observation in running means
 START_PATIENCE = 0.2  # a start note later than this share of the class's aim means the job waits or is lost
 START_MULTIPLE = 4.0  # ... and later than so many prompt start delays, so that slow networks are no illness
@@ -85,7 +84,6 @@
 ERRORS_SICK = 0.3  # errors a second that a worker reports; healthy ones have one in minutes
 COLD_BUDGET = 0.4  # of what a cold worker can stand in a window, this share is sent: jobs differ in size
 CROSS_WEIGHT = 32.0  # by so many times the price of crossing zones a worker elsewhere counts for less
-PACE_KEEP = 0.9  # a worker's pace is that of about its last ten jobs: slowness comes and goes
 
 SIZES_MOST = 16  # sizes of jobs that are told apart
 WIDE_STEP = 0.005  # weight of the newest arrival in the mean of wide jobs, which are few
@@ -101,18 +99,10 @@
 SPREAD_LEAST = 0.04
 GIVE_UP = 0.02  # a held request that would be late with all but this chance is given up
 
-SLOTS_MOST = 10_000.0  # no machine has more slots: such a figure would stand as T_j and open a cold budget
 SECOND = 1_000_000  # microseconds
 NEVER_RAN = frozenset((Outcome.OVERLOADED, Outcome.UNREACHABLE, Outcome.VOID, Outcome.REJECTED))
 
 
-def _number(value: Any) -> float | None:
-    """A figure of a report, or None where it makes no sense."""
-    if isinstance(value, (int, float)) and isfinite(value) and value >= 0:
-        return float(value)
-    return None
-
-
 class Attempt:
     __slots__ = ("live", "number", "outcome", "paced", "request", "sent", "started", "worker")
 
@@ -144,8 +134,8 @@
         self.arrived = now
         self.age = 0  # how long the client had waited before this try
         self.deadline = now + event.time_left_us
-        self.slots = _number(event.slots) or 1.0
-        self.memory = _number(event.memory) or 0.0
+        self.slots = number(event.slots) or 1.0
+        self.memory = number(event.memory) or 0.0
         self.attempts: list[Attempt] = []
         self.earlier = event.earlier  # attempts of an earlier process, any of which may have run
         self.terms = event.terms
@@ -217,118 +207,6 @@
         return not self.earlier and all(a.outcome in NEVER_RAN for a in self.attempts)
 
 
-class Worker:
-    """What this dispatcher knows of one worker."""
-
-    __slots__ = ("asked", "blocked", "cell", "cold_credit", "cold_from", "cold_paid", "delta", "down",
-                 "errors", "faults", "figures", "free", "heard", "hint", "key", "kind", "listed", "live",
-                 "lost_at", "memory", "moves", "name", "out", "pace", "past", "proofs", "ready", "retry_at",
-                 "risk_at", "seats", "seen", "started_us", "strikes", "total", "trial", "waiting", "well_at",
-                 "zone")
-
-    def __init__(self, name: str) -> None:
-        self.name = name
-        self.key = key_of(name)
-        self.zone = self.kind = self.cell = 0
-        self.hint = 1.0
-        self.ready = False
-        self.listed = False  # discovery names it, ready or not
-        self.live = True
-        self.started_us = 0
-        self.cold_from: int | None = None  # when it started, while it may be cold
-        self.cold_credit = 0.0  # slot time that may be sent to it while it is cold
-        self.cold_paid: int | None = None  # up to when the credit is counted
-        # the newest figures
-        self.figures: Report | None = None
-        self.heard: int | None = None  # when the newest figures came
-        self.seen: int | None = None  # when they were first seen
-        self.free = 0.0  # slots free; below 0, slots' worth of jobs that wait there
-        self.blocked = 0  # it turned a job away: nothing more until then
-        self.memory: float | None = None
-        self.total = 0.0  # T_j: the largest free-slot figure it has reported
-        self.seats = 0.0  # the most jobs it held while it had room: beyond this they wait
-        self.asked = False  # a check is out
-        # own traffic
-        self.out = 0.0  # slots of own attempts out
-        self.moves: deque[tuple[int, float]] = deque()  # own slots taken and given back since the figures
-        self.delta = 0.0
-        self.waiting: dict[Attempt, None] = {}  # own attempts without a start note, oldest first
-        # health
-        self.pace = Pace(PACE_KEEP)
-        self.faults = 0
-        self.past = 0  # faults before it was trusted again
-        self.well_at = 0  # when that was
-        self.proofs = 0  # successes that are still wanted before it is trusted again
-        self.errors = 0.0  # a second, by its newest report
-        self.retry_at = 0  # left out until then
-        self.risk_at = 0  # ... by jobs that must not run twice
-        self.strikes = 0  # jobs that broke off or found no connection since the last success
-        self.lost_at: int | None = None  # since when no connection was to be had
-        self.down = False  # ... for so long that it may come back cold
-        self.trial: Attempt | None = None
-
-    def learn(self, report: Report, now: int, spacing: float) -> bool:
-        """Take the figures of a report; True where they are new."""
-        self.errors = _number(report.get("eps")) or 0.0
-        if report == self.figures:
-            self.heard = now
-            return False
-        free, util = _number(report.get("free_slots")), _number(report.get("util"))
-        if free is not None and free > SLOTS_MOST:
-            free = None
-        if free is None and util is None:
-            return False
-        self.figures = report
-        self.heard = self.seen = now
-        if free is not None:
-            self.total = max(self.total, free)
-            held, queued = _number(report.get("inflight")), _number(report.get("queue"))
-            if held is not None and free >= 1.0:
-                self.seats = max(self.seats, held + free)
-            if queued is None and held is not None:
-                queued = held - max(self.seats, self.total)
-            self.free = free - queued if free < 0.5 and queued is not None and queued > 0 else free
-        else:  # no slot totals: count in shares of the most that it was seen to hold
-            self.total = max(self.total, self.out, _number(report.get("inflight")) or 0.0, 1.0)
-            self.free = (1.0 - min(util or 0.0, 1.0)) * self.total
-        self.memory = _number(report.get("free_memory"))
-        taken = now - LAG * spacing
-        moves = self.moves
-        while moves and moves[0][0] < taken:
-            self.delta -= moves.popleft()[1]
-        return True
-
-    def moved(self, now: int, slots: float) -> None:
-        """Own slots taken (or given back, if negative) since the figures were taken."""
-        self.out += slots
-        self.moves.append((now, slots))
-        self.delta += slots
-        if len(self.moves) > 256:
-            self.delta -= self.moves.popleft()[1]
-
-    def forget(self) -> None:
-        """A new process: the old figures and faults say nothing of it."""
-        self.figures = None
-        self.heard = self.seen = None
-        self.memory = None
-        self.faults = self.past = self.proofs = self.strikes = 0
-        self.lost_at = None
-        self.errors = 0.0
-        self.down = False
-        self.trial = None
-
-    def capacity(self, now: int, settings: Settings) -> float:
-        """The least share of its full capacity that it must have by now."""
-        rules = settings.rules
-        if self.cold_from is None or rules.cold_us <= 0:
-            return 1.0
-        share = rules.cold_share + (1.0 - rules.cold_share) * max(0, now - self.cold_from) / rules.cold_us
-        if share >= 1.0:
-            self.cold_from = None
-            return 1.0
-        return share
-
-
 class Dispatcher:
     """The decisions of one dispatcher.  Feed it events in order; it returns the actions to take."""
 
@@ -625,7 +503,7 @@
         """No start note though it claims room: its queue is longer than its figure says, or it hangs."""
         if not worker.waiting:
             return False
-        oldest = next(iter(worker.waiting))
+        oldest: Attempt = next(iter(worker.waiting))
         return self.now - oldest.sent > self._patience(oldest.request.info)
 
     def _own_waiting(self, worker: Worker) -> float:
@@ -1009,7 +887,7 @@
             self.tokens[t] = min(quota, self.tokens[t] + quota * self.part * spent / SECOND)
         for c in range(len(self.shares)):
             self.shares[c] += SPACING_STEP / 4 * ((c == event.cls) - self.shares[c])
-        self._observe_width(event.cls, _number(event.slots) or 1.0)
+        self._observe_width(event.cls, number(event.slots) or 1.0)
         share = COPY_MANY if self._many() else COPY_SHARE
         self.copies = min(COPY_BURST, self.copies + share)
         request = Request(event, self.settings.classes[event.cls], now)
@@ -1096,7 +974,7 @@
             return
         attempt = request.attempts[event.attempt]
         if event.progress is Progress.SHARE_DONE and attempt.started:
-            done = _number(event.value)
+            done = number(event.value)
             if done and attempt.outcome is None:
                 self._pace(attempt, (self.now - attempt.started) / min(done, 1.0))
             return
