Legs that the heir was not sent are back before a process that ends looks whether it holds any

peer.py woke its writer to give them back in the next turn; _drain looks every 20 ms and could find neither legs nor an heir in between, and ended with them. Found by reading; the test of the peer fails without it.

--- a/rushsaddle/takeover/peer.py
+++ b/rushsaddle/takeover/peer.py
@@ -88,4 +88,5 @@
         for sock in (self._in, self._out):
             self.loop.forget(sock.fileno())
             sock.close()
+        self._give_back()  # before the process looks whether it may end
         self.loop.wake(self._writer)
--- a/tests/takeover/test_notes.py
+++ b/tests/takeover/test_notes.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import socket
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from rushsaddle.core.loop import Clock, Loop
 from rushsaddle.takeover.notes import (
     BadNote,
     Ending,
@@ -18,6 +21,7 @@
     share,
     written,
 )
+from rushsaddle.takeover.peer import Leg, Peer
 
 counts = st.integers(0, 2**31)
 notes: st.SearchStrategy[Note] = st.one_of(
@@ -65,3 +69,17 @@
     assert 2 * beside <= sockets
     heir = share(sockets, beside=True, held=held)
     assert heir + min(held, beside) <= sockets and heir >= beside
+
+
+def test_legs_that_a_peer_was_not_sent_come_back_with_its_end() -> None:
+    """They came back a turn later: a process that ends looked in between, and held none of them."""
+    near, far = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    leg, caller = socket.socketpair()
+    returned: list[Leg] = []
+    peer = Peer(Loop(Clock(), lambda error: None), near, returned.append)
+    peer.give(leg, True, b"POST")
+    peer.close()
+    assert [(sock, note.unread) for sock, note in returned] == [(leg, b"POST")]
+    assert peer.idle
+    for sock in (far, leg, caller):
+        sock.close()
