--- a/rushsaddle/net/caller.py
+++ b/rushsaddle/net/caller.py
@@ -22,7 +22,7 @@
 from ..core.log import Log
 from ..core.loop import Coroutine, Loop, Task, Wait
 from ..core.transaction import Answer, Job, Transaction, Verdict
-from . import giveway
+from . import eviction
 from .http import (
     BODY_MOST,
     LINGER_US,
@@ -205,7 +205,7 @@
 
     def _evict(self) -> None:
         """Make room; the order of ``legs`` is that of their last use."""
-        for leg in giveway.choose(self.legs, self.loop.now_us(), self.budget):
+        for leg in eviction.choose(self.legs, self.loop.now_us(), self.budget):
             leg.evicted = True
             self.wake(leg)
 
--- a/rushsaddle/net/discovery.py
+++ b/rushsaddle/net/discovery.py
@@ -16,8 +16,8 @@
 from ..core.log import Log
 from ..core.loop import Coroutine, Loop, Task, Wait
 from ..core.names import LIST_MOST, Address, Names
-from .again import ANSWER_US, Again
 from .http import Objects, Stream
+from .list_retry import ANSWER_US, ListRetry
 from .nexthop import NextHops
 
 SILENCE_US = 3_500_000  # an empty line comes every 2 s: a watch this silent is dead
@@ -53,7 +53,8 @@
 class Discovery:
     def __init__(
         self, loop: Loop, log: Log, put: Callable[[Event], None], hops: NextHops, names: Names,
-        address: Address, connect_timeout_us: int, draw: Callable[[], float], again: Again, leaving: Leaving,
+        address: Address, connect_timeout_us: int, draw: Callable[[], float], retry: ListRetry,
+        leaving: Leaving,
     ) -> None:
         self.loop = loop
         self.log = log
@@ -63,7 +64,7 @@
         self.address = address
         self.connect_timeout_us = connect_timeout_us
         self.draw = draw  # from 0 to 1, each node its own
-        self.again = again
+        self.retry = retry
         self.leaving = leaving
         self.follower: Follower | None = None
         self.version = 0
@@ -81,7 +82,7 @@
     @property
     def heard(self) -> bool:
         """The service has told its list, or cannot be had now."""
-        return self._following or self.again.failed > 0
+        return self._following or self.retry.failed > 0
 
     def start(self, known: Any) -> None:
         """What was known before this start is the first event."""
@@ -104,7 +105,7 @@
                 self.follower.moved(f"{address[0]}:{address[1]}")
             self._new = True
             self.leaving.moved()
-            self.again.moved(self.loop.now_us())
+            self.retry.moved(self.loop.now_us())
             self._wake()
 
     def _wake(self) -> None:
@@ -112,10 +113,10 @@
             self.loop.wake(self._task)
 
     def _run(self) -> Coroutine[None]:
-        again = self.again
+        retry = self.retry
         while True:
             # A pushed list comes unasked: there is always a watch, and it costs nobody anything.
-            while not (self._owed or again.missing or again.pushed):
+            while not (self._owed or retry.missing or retry.pushed):
                 yield Wait()
             try:
                 yield from self._watch(self._moves)
@@ -123,7 +124,7 @@
                 self.log.error("discovery failed", error)
                 reached = not isinstance(error, Unreached | Silent)
                 # The node asks until it has the list; the decisions' calls wait, and are answered with it.
-                until = self.loop.now_us() + again.wait_us(self.loop.now_us(), reached, self.draw())
+                until = self.loop.now_us() + retry.wait_us(self.loop.now_us(), reached, self.draw())
                 moves = self._moves
                 while moves == self._moves and self.loop.now_us() < until:
                     yield Wait(until_us=until)  # a further call waits with this one, a move does not
@@ -163,7 +164,7 @@
                     event = yield from stream.next_event(patience)
                 if event is None:  # woken by a further call or a move, or too late
                     if self.loop.now_us() >= patience:
-                        self.again.silent(heard)
+                        self.retry.silent(heard)
                         raise Silent("nothing more was said")
                 elif isinstance(event, h11.Response):
                     if event.status_code != 200:
@@ -174,7 +175,7 @@
                         for _ in range(self._owed - 1):
                             self.put(WorkerList(ListKind.CHANGES, (), self.version))
                         self._following, self._owed = True, 0
-                        self.again.heard()
+                        self.retry.heard()
                     # A line without end is no sign of life: it would keep the watch for as long as it drips.
                     if self._following and b"\n" in event.data:
                         heard = self.loop.now_us()
--- a/rushsaddle/net/again.py
+++ b/rushsaddle/net/list_retry.py
@@ -11,22 +11,22 @@
 
 MOVE_US = 4_000_000  # by the protocol: what a new service has counts so long after the configuration named it
 TURN_US = 1_000_000  # a call may wait so long for its turn at the service: it must begin sooner by that
-AGAIN_US = (200_000, 1_000_000)  # again after at most so long at first, doubled each time up to the second
-AGAIN_LEAST_US = 50_000  # ... and never sooner
+RETRY_US = (200_000, 1_000_000)  # again after at most so long at first, doubled each time up to the second
+RETRY_LEAST_US = 50_000  # ... and never sooner
 ANSWER_US = 4_000_000  # a call may wait its turn for so long, and leave time for one more
 
 
-def again_us(failed: int, draw: float, most: int = AGAIN_US[1]) -> int:
+def backoff_us(failed: int, draw: float, most: int = RETRY_US[1]) -> int:
     """How long to wait after so many calls in a row that failed; ``draw`` is from 0 to 1.
 
     All nodes are told of the move at once: those that fail together must not come back together, and less
     often each time, for a call that waits too long has cost the service its turn all the same.
     """
-    most = max(AGAIN_LEAST_US, min(AGAIN_US[0] << min(failed - 1, 8), most))
-    return AGAIN_LEAST_US + int(draw * (most - AGAIN_LEAST_US))
+    most = max(RETRY_LEAST_US, min(RETRY_US[0] << min(failed - 1, 8), most))
+    return RETRY_LEAST_US + int(draw * (most - RETRY_LEAST_US))
 
 
-class Again:
+class ListRetry:
     """What is missing of the list, since when, and when to ask for it again."""
 
     __slots__ = ("_hurry_us", "_turns_us", "failed", "most_us", "pushed", "told_us")
@@ -35,7 +35,7 @@
         self.pushed = pushed
         # Where lists are pushed, what the agent gets when it is back counts at once: the next call must come
         # and be answered within the time in which sends to who leaves are forgiven.
-        self.most_us = min(AGAIN_US[1], grace_us // 4) if pushed and grace_us > 0 else AGAIN_US[1]
+        self.most_us = min(RETRY_US[1], grace_us // 4) if pushed and grace_us > 0 else RETRY_US[1]
         self.failed = 0  # calls in a row without a list
         self.told_us: int | None = None  # when what is missing counts as told, at the earliest
         self._turns_us = group_size * LIST_APART  # one call of every node
@@ -72,15 +72,15 @@
         """
         self.failed += 1
         if self.pushed:
-            return again_us(self.failed, draw, self.most_us)
+            return backoff_us(self.failed, draw, self.most_us)
         self._due(now + TOLD_US)
         assert self.told_us is not None
         if now < self._hurry_us or (self.failed > 1 and not reached):
-            return again_us(self.failed, draw)  # where nothing was reached, it costs the service nothing
+            return backoff_us(self.failed, draw)  # where nothing was reached, it costs the service nothing
         most = min(self._turns_us << min(self.failed - 1, 8), TOLD_US - TURN_US)
         if now < self.told_us - TURN_US:
             most = min(most, self.told_us - TURN_US - now)
         # The watches of all nodes may have died in one instant: their calls are spread evenly.  Those that
         # fail again have found the service overbooked: they come less often, and differ in half of it.
         share = draw if self.failed == 1 else (1.0 + draw) / 2
-        return max(AGAIN_LEAST_US, int(share * most))
+        return max(RETRY_LEAST_US, int(share * most))
--- a/rushsaddle/node.py
+++ b/rushsaddle/node.py
@@ -26,9 +26,9 @@
 from .core.names import Address
 from .core.tally import Tally
 from .net import listener
-from .net.again import Again
 from .net.caller import Callers, Class
 from .net.discovery import Discovery
+from .net.list_retry import ListRetry
 from .net.nexthop import NextHops
 from .net.peers import PeerLink
 
@@ -113,7 +113,8 @@
         self.discovery = Discovery(
             self.loop, self.log, self.decider.put, self.hops, told.names, told.discovery, connect_us,
             Random(told.seed).random,
-            Again(not settings.list_on_request, settings.rules.drain_grace_us, settings.group_size), leaving,
+            ListRetry(not settings.list_on_request, settings.rules.drain_grace_us, settings.group_size),
+            leaving,
         )
         self.decider.subscribe = self.discovery.subscribe
         self.peers: PeerLink | None = None
@@ -168,7 +169,7 @@
             self.loop.spawn(self._later(listen, door, LIST_US, lambda: self.discovery.following))
         elif self.fleet is not None:
             self.loop.spawn(self._later(listen, door, self.fleet.patience_us, self.fleet.listed))
-        elif self.discovery.again.pushed:
+        elif self.discovery.retry.pushed:
             # What the agent has counts as told from the first moment of this process, whatever the file says.
             self.loop.spawn(self._later(listen, door, AGENT_US, lambda: self.discovery.heard))
         else:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -7,12 +7,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from rushsaddle.net.again import AGAIN_LEAST_US, AGAIN_US, MOVE_US, again_us
+from rushsaddle.net.list_retry import MOVE_US, RETRY_LEAST_US, RETRY_US, backoff_us
 
 
 @given(st.integers(1, 10_000), st.floats(0, 1))
 def test_a_wait_is_bounded_whatever_the_count_and_the_draw(failed: int, draw: float) -> None:
-    assert AGAIN_LEAST_US <= again_us(failed, draw) <= AGAIN_US[1]
+    assert RETRY_LEAST_US <= backoff_us(failed, draw) <= RETRY_US[1]
 
 
 def test_forty_nodes_ask_a_service_that_fails_less_and_less_often_and_spread() -> None:
@@ -23,7 +23,7 @@
         while at < MOVE_US:
             calls.append(at)
             failed += 1
-            at += again_us(failed, draw())
+            at += backoff_us(failed, draw())
     later = [at for at in calls if at]
     assert len(calls) < 40 * 12
     assert 2 * sum(at < 1_000_000 for at in calls) > 3 * sum(at >= MOVE_US - 1_000_000 for at in calls)
--- a/tests/test_giveway.py
+++ b/tests/test_eviction.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from rushsaddle.net.giveway import LEAST, SHY_MOST, SHY_US, STOPPED_US, choose
+from rushsaddle.net.eviction import LEAST, SHY_MOST, SHY_US, STOPPED_US, choose
 
 NOW = 10_000_000
 
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -14,8 +14,8 @@
 
 from rushsaddle.core.leaving import Leaving
 from rushsaddle.core.names import Names
-from rushsaddle.net.again import AGAIN_US, ANSWER_US, MOVE_US, TURN_US, Again
 from rushsaddle.net.http import Objects
+from rushsaddle.net.list_retry import ANSWER_US, MOVE_US, RETRY_US, TURN_US, ListRetry
 from tansygw.interface import ListKind, Subscribe, TimerFired, WorkerEntry, WorkerList, WorkerState
 from tansygw.lists import TOLD_US
 from tests.world import MS, SECOND, Drive
@@ -23,7 +23,7 @@
 NAMES = Names.of(["north"], ["fast"])
 
 
-def calls(again: Again, since: int, reached: bool, until: int, seed: int) -> list[int]:
+def calls(again: ListRetry, since: int, reached: bool, until: int, seed: int) -> list[int]:
     """When the service is asked after a watch that is found silent at ``since`` and every call fails."""
     draw, now, found = Random(seed).random, since + 3500 * MS, []
     again.silent(since)
@@ -39,10 +39,10 @@
     """Before, the decisions waited for up to three quarters of ``must_ask_in_us`` after 3.5 s of silence."""
     first = []
     for seed in range(group):
-        asked = calls(Again(False, 2 * SECOND, group), 0, False, 20 * SECOND, seed)
+        asked = calls(ListRetry(False, 2 * SECOND, group), 0, False, 20 * SECOND, seed)
         first.append(asked[0])
         apart = [b - a for a, b in pairwise(asked)]
-        assert max(apart) <= AGAIN_US[1]  # a way that opens again is found at once
+        assert max(apart) <= RETRY_US[1]  # a way that opens again is found at once
     assert max(first) <= TOLD_US - TURN_US
     worst = max(sum(a <= at < a + 100 * MS for at in first) for a in first)
     assert worst <= 6 + group / 8  # ... not in one wave
@@ -50,7 +50,7 @@
 
 def test_an_overbooked_service_is_asked_less_and_less_often() -> None:
     asked = [
-        at for seed in range(200) for at in calls(Again(False, SECOND, 200), 0, True, 60 * SECOND, seed)
+        at for seed in range(200) for at in calls(ListRetry(False, SECOND, 200), 0, True, 60 * SECOND, seed)
     ]
     late = [at for at in asked if at >= 30 * SECOND]
     assert len(late) / 30 <= 200 / 3  # a second, of the whole fleet
@@ -58,18 +58,18 @@
 
 def test_where_lists_are_pushed_a_call_comes_well_within_the_grace() -> None:
     """What the agent has at its return counts at once: calls up to a second apart broke a grace of 0.5 s."""
-    again = Again(True, 500 * MS, 5)
+    again = ListRetry(True, 500 * MS, 5)
     waits = [again.wait_us(n * SECOND, False, 0.99) for n in range(20)]
     assert all(wait <= 125 * MS for wait in waits)
 
 
 def test_after_a_move_the_new_service_is_asked_at_a_quick_pace_until_it_is_heard() -> None:
-    again = Again(False, SECOND, 200)
+    again = ListRetry(False, SECOND, 200)
     again.moved(10 * SECOND)
     now, waits = 10 * SECOND, 0
     while now < 60 * SECOND:
         wait = again.wait_us(now, True, 0.5)
-        assert now > 10 * SECOND + MOVE_US or wait <= AGAIN_US[1]
+        assert now > 10 * SECOND + MOVE_US or wait <= RETRY_US[1]
         now, waits = now + wait, waits + 1
     assert waits < 30 and again.missing
     again.heard()
@@ -86,7 +86,7 @@
 ) -> None:
     """An overbooked service was asked up to 8 s after a call had failed, and a watch that was reset up to
     three quarters of ``must_ask_in_us`` later: what came right after the failure counts as told after 6 s."""
-    again, now = Again(False, SECOND, group), 0
+    again, now = ListRetry(False, SECOND, group), 0
     for how, drawn in ends:
         if how == "given up":
             again.silent(now - ANSWER_US)
