A connection that brought more than its answer is not kept

nexthop.py _release asked only the socket, in _take, whether more had come: a second answer that came in one piece with the first stayed in h11 and was read as the answer of the next request. With an id in it that request failed; a bare 503 with X-Not-Processed would have proved that it never ran, and sent it again. Found by reading; crossing_two_answers_at_once.txt fails without the mend.

--- a/rushsaddle/net/nexthop.py
+++ b/rushsaddle/net/nexthop.py
@@ -223,8 +223,9 @@
         return True
 
     def _release(self, hop: Hop, connection: Connection) -> None:
-        """Keep the connection for the next request."""
-        if not hop.listed or connection.address != hop.address:
+        """Keep the connection for the next request, but not one that brought more than its answer."""
+        more = connection.stream.h11.trailing_data[0]
+        if not hop.listed or connection.address != hop.address or more:
             self._discard(connection)
             return
         connection.stream.h11.start_next_cycle()
