--- a/rushsaddle/node.py
+++ b/rushsaddle/node.py
@@ -4,6 +4,7 @@
 
 import gc
 import os
+import resource
 import select
 import signal
 import socket
@@ -25,9 +26,9 @@
 from .core.names import Address
 from .core.tally import Tally
 from .net import listener
-from .net.again import Again
 from .net.caller import Callers, Class
 from .net.discovery import Discovery
+from .net.list_retry import ListRetry
 from .net.nexthop import NextHops
 from .net.peers import PeerLink
 
@@ -42,6 +43,7 @@
 
 Settle = Callable[[], "tuple[Operator, Source] | None"]
 
+BUDGET_LEAST = 4
 SPARE = 40  # descriptors for the loop, the log, discovery, and sockets on their way out
 LOOK_US = 20_000  # between looks at what is left, or not yet there
 LIST_US = 2_500_000  # a process that replaces another waits so long for a list that is not of old
@@ -53,8 +55,13 @@
 
 
 def _budget(sockets: int) -> int:
-    """As many caller legs as branches, probes and idle next hops."""
-    return (sockets - SPARE) // 2
+    """As many caller legs as branches, probes and idle next hops.  Where the system gives fewer descriptors
+    than the configuration says, callers must not fill them: discovery and next hops need theirs.
+    """
+    system, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if system != resource.RLIM_INFINITY:
+        sockets = min(sockets, system)
+    return max(BUDGET_LEAST, (sockets - SPARE) // 2)
 
 
 def _signals() -> socket.socket:
@@ -105,7 +112,8 @@
         self.decider.hops = self.hops
         self.discovery = Discovery(
             self.loop, self.log, self.decider.put, self.hops, told.names, told.discovery, connect_us,
-            Random(told.seed).random, Again(not settings.list_on_request, settings.rules.drain_grace_us),
+            Random(told.seed).random,
+            ListRetry(not settings.list_on_request, settings.rules.drain_grace_us, settings.group_size),
             leaving,
         )
         self.decider.subscribe = self.discovery.subscribe
@@ -161,7 +169,7 @@
             self.loop.spawn(self._later(listen, door, LIST_US, lambda: self.discovery.following))
         elif self.fleet is not None:
             self.loop.spawn(self._later(listen, door, self.fleet.patience_us, self.fleet.listed))
-        elif self.discovery.again.pushed:
+        elif self.discovery.retry.pushed:
             # What the agent has counts as told from the first moment of this process, whatever the file says.
             self.loop.spawn(self._later(listen, door, AGENT_US, lambda: self.discovery.heard))
         else:
