One constant for a call's turn, one fixture for a played node, a plainer linger

Need: reading the whole change again. list_retry.py had TURN_US beside LIST_PATIENCE of tansygw/lists.py, the same second for the same reason; test_crossings.py had a fixture that test_exchanges.py wrote out as well; linger marked its first round to get into its own loop.

Change: LIST_PATIENCE is the one constant; the fixture `player` stands in tests/conftest.py and serves both; linger is one loop with its three ends.

--- a/rushsaddle/net/http.py
+++ b/rushsaddle/net/http.py
@@ -182,15 +182,15 @@
         """
         until, left = self.loop.now_us() + longest_us, LINGER_MOST
         self.sock.shutdown(socket.SHUT_WR)
-        mask = 1
-        while mask or self.readable():
+        while True:
             mask = yield Wait(self.sock.fileno(), select.EPOLLIN, until)
-            with suppress(BlockingIOError):
+            try:
                 count = self.sock.recv_into(SINK)
-                left -= count
-                if not count or left < 0:
-                    return
-            if self.loop.now_us() >= until and not self.readable():
+            except BlockingIOError:
+                return
+            left -= count
+            over = not mask or self.loop.now_us() >= until
+            if not count or left < 0 or (over and not self.readable()):
                 return
 
 
--- a/rushsaddle/net/list_retry.py
+++ b/rushsaddle/net/list_retry.py
@@ -7,10 +7,9 @@
 
 from __future__ import annotations
 
-from tansygw.lists import LIST_APART, TOLD_US
+from tansygw.lists import LIST_APART, LIST_PATIENCE, TOLD_US
 
 MOVE_US = 4_000_000  # by the protocol: what a new service has counts so long after the configuration named it
-TURN_US = 1_000_000  # a call may wait so long for its turn at the service: it must begin sooner by that
 RETRY_US = (200_000, 1_000_000)  # again after at most so long at first, doubled each time up to the second
 RETRY_LEAST_US = 50_000  # ... and never sooner
 ANSWER_US = 4_000_000  # a call may wait its turn for so long, and leave time for one more
@@ -77,9 +76,9 @@
         assert self.told_us is not None
         if now < self._hurry_us or (self.failed > 1 and not reached):
             return backoff_us(self.failed, draw)  # where nothing was reached, it costs the service nothing
-        most = min(self._turns_us << min(self.failed - 1, 8), TOLD_US - TURN_US)
-        if now < self.told_us - TURN_US:
-            most = min(most, self.told_us - TURN_US - now)
+        most = min(self._turns_us << min(self.failed - 1, 8), TOLD_US - LIST_PATIENCE)
+        if now < self.told_us - LIST_PATIENCE:
+            most = min(most, self.told_us - LIST_PATIENCE - now)
         # The watches of all nodes may have died in one instant: their calls are spread evenly.  Those that
         # fail again have found the service overbooked: they come less often, and differ in half of it.
         share = draw if self.failed == 1 else (1.0 + draw) / 2
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,6 +9,8 @@
 
 from measure.site import Site
 
+from .play import Player
+
 
 @pytest.fixture
 def site(tmp_path: Path) -> Iterator[Site]:
@@ -17,3 +19,12 @@
         yield site
     finally:
         site.stop()
+
+
+@pytest.fixture
+def player(tmp_path: Path) -> Iterator[Player]:
+    player = Player(tmp_path)
+    try:
+        yield player
+    finally:
+        player.stop()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -4,7 +4,6 @@
 
 import socket
 import time
-from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
@@ -26,15 +25,6 @@
 """
 
 
-@pytest.fixture
-def player(tmp_path: Path) -> Iterator[Player]:
-    player = Player(tmp_path)
-    try:
-        yield player
-    finally:
-        player.stop()
-
-
 def pair() -> tuple[Stream, socket.socket]:
     """A connection as the node has it, and its other end."""
     with socket.create_server(("127.0.0.1", 0)) as server:
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -12,10 +12,6 @@
 
 
 @pytest.mark.parametrize("recording", RECORDINGS, ids=lambda path: path.stem)
-def test_recording(recording: Path, tmp_path: Path) -> None:
-    player = Player(tmp_path)
-    try:
-        player.play(recording.read_text())
-        assert "connection's code failed" not in player.log()
-    finally:
-        player.stop()
+def test_recording(recording: Path, player: Player) -> None:
+    player.play(recording.read_text())
+    assert "connection's code failed" not in player.log()
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -15,9 +15,9 @@
 from rushsaddle.core.leaving import Leaving
 from rushsaddle.core.names import Names
 from rushsaddle.net.http import Objects
-from rushsaddle.net.list_retry import ANSWER_US, MOVE_US, RETRY_US, TURN_US, ListRetry
+from rushsaddle.net.list_retry import ANSWER_US, MOVE_US, RETRY_US, ListRetry
 from tansygw.interface import ListKind, Subscribe, TimerFired, WorkerEntry, WorkerList, WorkerState
-from tansygw.lists import TOLD_US
+from tansygw.lists import LIST_PATIENCE, TOLD_US
 from tests.world import MS, SECOND, Drive
 
 NAMES = Names.of(["north"], ["fast"])
@@ -43,7 +43,7 @@
         first.append(asked[0])
         apart = [b - a for a, b in pairwise(asked)]
         assert max(apart) <= RETRY_US[1]  # a way that opens again is found at once
-    assert max(first) <= TOLD_US - TURN_US
+    assert max(first) <= TOLD_US - LIST_PATIENCE
     worst = max(sum(a <= at < a + 100 * MS for at in first) for a in first)
     assert worst <= 6 + group / 8  # ... not in one wave
 
@@ -92,7 +92,7 @@
             again.silent(now - ANSWER_US)
         now += again.wait_us(now, how == "refused", drawn)
     wait = again.wait_us(now, True, draw)
-    assert wait + TURN_US <= TOLD_US
+    assert wait + LIST_PATIENCE <= TOLD_US
     assert again.missing  # the node asks by itself, whatever the decisions plan
 
 
