python -m measure.capacity: slopes of a node's roles, with bounds on memory, processes, time

measure/capacity.py measures, fits and draws; measure/roles.py has what runs in one process (dispatcher, its checks in virtual time, open jobs, limits, configuration, jobs that wait), measure/roles_node.py real nodes beside stand-ins, measure/worked.py what follows for the plan's size from the bounds in code, and measure/bounds.py the guard. The stand-in counts what goes over the wire; a node's processor time is read to the nanosecond instead of in ticks of 10 ms. A stopped run ends what it started: a test found a node process left over when the end came while the node was starting; now whoever measures ends its whole family.

No figure: nothing was measured yet, the tests hold at small sizes and at any speed.

--- /dev/null
+++ b/measure/capacity.py
@@ -0,0 +1,332 @@
+"""Slopes of every role, measured at several sizes: rows as JSON, fits as tables, charts.
+
+    python -m measure.capacity slopes [ROLE ...] [--sizes N ...] [--seeds N] [--into FILE]
+        [--seconds S] [--mb M]
+    python -m measure.capacity fit FILE
+    python -m measure.capacity chart FILE [--folder docs/measured]
+    python -m measure.capacity fleet ...          members of a fleet (measure/hollow.py)
+
+``slopes`` replaces the rows of the roles that it measured and keeps the others of FILE.  It refuses to start
+where it would take over half of the machine's memory, 300 processes or the time given, and keeps to that.
+Exit codes: 0 fine, 1 refused or stopped by a bound, 2 used wrongly.
+"""
+
+from __future__ import annotations
+
+import argparse
+import importlib
+import json
+import multiprocessing
+import os
+import platform
+import shlex
+import signal
+import statistics
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Sequence
+from contextlib import suppress
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+from . import roles, roles_node, worked
+from .bounds import Bounds, Need, Refused, Watch, family, machine_mb
+from .roles import Figures
+
+if TYPE_CHECKING:  # scipy takes seconds to import, which every process of a run would wait for
+    from .slopes import Verdict
+
+FILE = Path(__file__).parent.parent / "docs" / "measured" / "capacity.json"
+SIZES = (312, 625, 1250, 2500, 5000)
+PLAN = worked.Plan()
+Measure = Callable[[int, int, Path], Figures]
+
+
+@dataclass(slots=True, frozen=True)
+class Role:
+    """How one role is measured.  ``mb`` is of one row at the largest size, with the processes it starts;
+    ``seconds`` of all its rows on a slow machine."""
+
+    measure: Measure
+    size: str  # what the sizes count
+    named: int  # in the plan
+    sizes: tuple[int, ...] = SIZES
+    seeds: int = 5
+    beside: int = 1  # rows at once: more only where counts or long idle windows are measured
+    mb: int = 200
+    processes: int = 1
+    seconds: float = 120.0
+    decides: tuple[str, ...] = ()  # figures that the charts show
+
+
+def pure(measure: Callable[[int, int], Figures]) -> Measure:
+    def run(size: int, seed: int, folder: Path) -> Figures:
+        return measure(size, seed)
+
+    return run
+
+
+ROLES: dict[str, Role] = {
+    "dispatcher": Role(pure(roles.dispatcher), "workers", PLAN.workers, decides=("draw_ms", "list_ms")),
+    "checks": Role(
+        pure(roles.checks), "workers and nodes", PLAN.workers, beside=7, seconds=300.0,
+        decides=("busy_a_second", "first_a_second"),
+    ),
+    "node": Role(
+        roles_node.node, "workers and nodes", PLAN.workers, seeds=3, beside=8, mb=150, processes=3,
+        seconds=300.0, decides=("first_percent", "busy_percent"),
+    ),
+    "list": Role(
+        roles_node.listed, "workers", PLAN.workers, seeds=3, mb=300, processes=2, decides=("list_ms",)
+    ),
+    "wire": Role(pure(roles.list_bytes), "workers", PLAN.workers, seeds=3),
+    "open": Role(
+        roles_node.opened, "jobs open", PLAN.running // PLAN.nodes, (125, 250, 500, 1000, 2000), 3, mb=400,
+        processes=3, seconds=200.0, decides=("open_mb",),
+    ),
+    "transaction": Role(
+        pure(roles.transaction), "jobs open", PLAN.running, (6125, 12_250, 24_500, 49_000, 98_000), 3, 5,
+        mb=500, seconds=300.0,
+    ),
+    "limits": Role(pure(roles.limits), "teams", PLAN.teams, (10, 56, 125, 250, 500, 1000), 3),
+    "configuration": Role(roles.configuration, "routes", 5000, seeds=3, decides=("read_ms",)),
+    "waiting": Role(
+        pure(roles.waiting), "jobs that wait", PLAN.running, (6125, 12_250, 24_500, 49_000, 98_000), 3,
+        mb=300,
+    ),
+}
+
+
+def machine() -> dict[str, Any]:
+    return {
+        "cores": os.cpu_count(), "memory_mb": round(machine_mb()[0]),
+        "python": platform.python_version(), "system": f"{platform.system()} {platform.machine()}",
+    }
+
+
+def one(told: tuple[str, int, int]) -> tuple[str, int, int, Figures]:
+    """A row, in a process that has measured nothing before."""
+    name, size, seed = told
+    with tempfile.TemporaryDirectory() as folder:
+        return name, size, seed, ROLES[name].measure(size, seed, Path(folder))
+
+
+def _end(number: int, frame: object) -> None:
+    """All that this process has started ends with it, wherever the measurement stands."""
+    for pid in family(os.getpid())[1:]:
+        with suppress(ProcessLookupError):
+            os.kill(pid, signal.SIGKILL)
+    sys.exit(1)
+
+
+def _ready() -> None:
+    """In each process that measures: only the one that began it says when it ends."""
+    signal.signal(signal.SIGINT, signal.SIG_IGN)
+    signal.signal(signal.SIGTERM, _end)
+
+
+def need(names: Sequence[str], sizes: Sequence[int], seeds: int) -> Need:
+    """Of these roles, one after another; ``sizes`` and ``seeds`` where they are not a role's own."""
+    mb = processes = 0.0
+    seconds = 0.0
+    for name in names:
+        role = ROLES[name]
+        grows = max(1.0, max(sizes) / max(role.sizes)) if sizes else 1.0
+        mb = max(mb, role.beside * role.mb * grows)
+        processes = max(processes, 2 + role.beside * role.processes)
+        seconds += role.seconds * grows * (seeds / role.seeds if seeds else 1.0)
+    return Need(mb, int(processes), seconds)
+
+
+def slopes(told: argparse.Namespace) -> int:
+    named = told.roles or list(ROLES)
+    kept: dict[str, Any] = {"runs": {}, "rows": []}
+    if told.into.exists():
+        kept = json.loads(told.into.read_text())
+    wanted = need(named, told.sizes, told.seeds)
+    context = multiprocessing.get_context("spawn")
+    with Watch(Bounds.here(told.seconds, told.mb), wanted, os.getpid()) as watch:
+        for name in named:
+            role, rows, began = ROLES[name], [], time.monotonic()
+            work = [
+                (name, size, seed) for seed in range(told.seeds or role.seeds)
+                for size in sorted(told.sizes or role.sizes, reverse=True)
+            ]
+            with context.Pool(role.beside, _ready, maxtasksperchild=1) as pool:
+                for _, size, seed, figures in pool.imap_unordered(one, work):
+                    rows.append({"role": name, "size": size, "seed": seed, "figures": figures})
+                    shown = ", ".join(f"{key} {value:.4g}" for key, value in figures.items())
+                    place = f"{len(rows)}/{len(work)} {name} {size} {seed}"
+                    print(f"{place}: {shown}", file=sys.stderr, flush=True)
+            rows.sort(key=lambda row: (row["size"], row["seed"]))
+            kept["rows"] = [row for row in kept["rows"] if row["role"] != name] + rows
+            words = ["python -m measure.capacity slopes", name]
+            words += ["--sizes", *map(str, told.sizes)] if told.sizes else []
+            words += ["--seeds", str(told.seeds)] if told.seeds else []
+            kept["runs"][name] = {
+                "command": " ".join(words), "machine": machine(), "size": role.size, "beside": role.beside,
+                "seconds": round(time.monotonic() - began, 1),
+                "peak_mb": round(watch.peak_mb), "peak_processes": watch.peak_processes,
+            }
+            told.into.parent.mkdir(parents=True, exist_ok=True)
+            text = json.dumps({**kept, "rows": []}, indent=1)
+            lines = ",\n".join(json.dumps(row) for row in kept["rows"])
+            told.into.write_text(text.replace('"rows": []', f'"rows": [\n{lines}\n]') + "\n")
+    return 0
+
+
+def points(kept: dict[str, Any], name: str, figure: str) -> list[tuple[float, float]]:
+    return [(row["size"], row["figures"][figure]) for row in kept["rows"] if row["role"] == name]
+
+
+def verdicts(kept: dict[str, Any]) -> dict[tuple[str, str], Verdict]:
+    """Of every figure that was measured at sizes enough, by role and figure."""
+    from .slopes import SIZES_LEAST, judge
+
+    found = {}
+    for name in kept["runs"]:
+        figures = next(row["figures"] for row in kept["rows"] if row["role"] == name)
+        for figure in figures:
+            known = points(kept, name, figure)
+            if len({size for size, _ in known}) >= SIZES_LEAST:
+                found[name, figure] = judge(known, ROLES[name].named)
+    return found
+
+
+def worked_out(kept: dict[str, Any], found: dict[tuple[str, str], Verdict]) -> dict[str, dict[str, float]]:
+    """What the slopes say of the plan's size, where the roles it takes were measured."""
+
+    def at(name: str, figure: str) -> float:
+        measured = [y for n, y in points(kept, name, figure) if n == PLAN.workers]
+        return statistics.median(measured) if measured else found[name, figure].whole.at(PLAN.workers)
+
+    settings, rows = roles.grouped(PLAN.nodes), {}
+    have = {name for name, _ in found}
+    if "wire" in have:
+        rows["lists"] = worked.lists(PLAN, settings, at("wire", "whole_bytes"), at("wire", "change_bytes"))
+    if "node" in have:
+        rows["configuration, platform's file"] = worked.configuration(PLAN, at("node", "reread_ms"))
+    if "configuration" in have:
+        cost = at("configuration", "read_ms") + at("configuration", "take_ms")
+        rows["configuration, operator's file of 5,000 routes"] = worked.configuration(PLAN, cost)
+    if {"node", "checks"} <= have:
+        first = at("node", "first_percent") - at("node", "idle_percent")
+        check_ms = 10 * first / at("node", "first_checks_a_second")
+        for what in ("first", "busy", "full", "idle"):
+            rate = at("checks", f"{what}_a_second")
+            rows[f"checks, {what}"] = worked.checks(PLAN, rate, at("node", "check_bytes"), check_ms) | {
+                "check_ms": check_ms, "a_second": rate,
+            }
+    for name in ("open", "transaction"):
+        if name in have:
+            figure, unit = ("open_mb", 2**20) if name == "open" else ("open_bytes", 1)
+            rows[f"running, {name}"] = worked.running(PLAN, found[name, figure].whole.slope * unit)
+    return rows
+
+
+def show(value: float) -> str:
+    return f"{value:,.0f}" if abs(value) >= 1000 else f"{value:.3g}"
+
+
+def fit(told: argparse.Namespace) -> int:
+    kept = json.loads(told.file.read_text())
+    found = verdicts(kept)
+    for name, run in kept["runs"].items():
+        sizes = sorted({row["size"] for row in kept["rows"] if row["role"] == name})
+        seeds = len({row["seed"] for row in kept["rows"] if row["role"] == name})
+        print(f"\n### {name}: by {run['size']}\n")
+        print(f"`{run['command']}`, {seeds} seeds, {run['beside']} at once, {run['seconds']:.0f} s\n")
+        print("| figure | " + " | ".join(map(show, sizes)) + " | fit without the largest | predicted "
+              "| error, % | at the plan's " + show(ROLES[name].named) + " |")
+        print("| --- " * (len(sizes) + 5) + "|")
+        for (role, figure), seen in found.items():
+            if role != name:
+                continue
+            medians = [statistics.median(y for n, y in points(kept, name, figure) if n == size)
+                       for size in sizes]
+            form = f"{show(seen.fit.base)} ± {show(seen.fit.base_half)}"
+            if seen.fit.form != "flat":
+                form += f" + ({show(seen.fit.slope)} ± {show(seen.fit.slope_half)}) {seen.fit.form}"
+            rule = "" if seen.chosen_by == "AICc" else f" ({seen.chosen_by})"
+            print(f"| {figure} | " + " | ".join(map(show, medians)) + f" | {form}{rule} "
+                  f"| {show(seen.predicted)} ± {show(seen.predicted_half)} | {seen.error_percent:+.1f} "
+                  f"| {show(seen.extrapolated)} ± {show(seen.extrapolated_half)} |")
+    print("\n### worked out\n\n| what | figure | value |\n| --- | --- | --- |")
+    for what, row in worked_out(kept, found).items():
+        for figure, value in row.items():
+            print(f"| {what} | {figure} | {show(value)} |")
+    return 0
+
+
+def chart(told: argparse.Namespace) -> int:
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    kept = json.loads(told.file.read_text())
+    found = verdicts(kept)
+    chosen = [key for key in found if key[1] in ROLES[key[0]].decides]
+    across = 3
+    down = -(-len(chosen) // across)
+    _, grid = pyplot.subplots(down, across, figsize=(5 * across, 3.6 * down), squeeze=False)
+    for axes in grid.flat[len(chosen):]:
+        axes.set_visible(False)
+    for axes, key in zip(grid.flat, chosen, strict=False):
+        seen, known = found[key], points(kept, *key)
+        sizes = sorted({n for n, _ in known})
+        line = [sizes[0] + n * (sizes[-1] - sizes[0]) / 60 for n in range(61)]
+        axes.plot([n for n, _ in known], [y for _, y in known], "o", ms=4, label="measured")
+        axes.plot(line, [seen.fit.at(n) for n in line], "-", label=f"fit: {seen.fit.form}")
+        low, high = zip(*((seen.fit.at(n) - seen.fit.half_at(n), seen.fit.at(n) + seen.fit.half_at(n))
+                          for n in line), strict=True)
+        axes.fill_between(line, low, high, alpha=0.2, label="95% for a new measurement")
+        error = f"predicted, {seen.error_percent:+.0f}%"
+        axes.plot([seen.largest], [seen.predicted], "kx", ms=8, label=error)
+        axes.set_title(f"{key[0]}: {key[1]}")
+        axes.set_xlabel(ROLES[key[0]].size)
+        axes.set_ylim(bottom=0)
+        axes.legend(fontsize=7)
+    pyplot.tight_layout()
+    pyplot.savefig(told.folder / "capacity-roles.png", dpi=90)
+    return 0
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    given = list(sys.argv[1:] if argv is None else argv)
+    if given[:1] == ["fleet"]:
+        return int(importlib.import_module("measure.hollow").main(given[1:]) or 0)
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
+    commands = parser.add_subparsers(dest="what", required=True)
+    measured = commands.add_parser("slopes", help="measure roles")
+    measured.add_argument("roles", nargs="*", metavar="ROLE", help=", ".join(ROLES))
+    measured.add_argument("--sizes", type=int, nargs="+", default=[])
+    measured.add_argument("--seeds", type=int, default=0)
+    measured.add_argument("--into", type=Path, default=FILE)
+    measured.add_argument("--seconds", type=float, default=1800.0)
+    measured.add_argument("--mb", type=float, help="less than half of the machine's memory")
+    measured.set_defaults(run=slopes)
+    fits = commands.add_parser("fit", help="tables of fits and predictions")
+    fits.set_defaults(run=fit)
+    charts = commands.add_parser("chart", help="charts of the slopes that decide")
+    charts.add_argument("--folder", type=Path, default=FILE.parent)
+    charts.set_defaults(run=chart)
+    for command in (fits, charts):
+        command.add_argument("file", type=Path, nargs="?", default=FILE)
+    commands.add_parser("fleet", help="members of a fleet")
+    told = parser.parse_args(given)
+    if told.what == "slopes" and (unknown := [name for name in told.roles if name not in ROLES]):
+        parser.error(f"no such role: {shlex.join(unknown)}; there are {', '.join(ROLES)}")
+    try:
+        return int(told.run(told))
+    except Refused as error:
+        print(f"refused: {error}", file=sys.stderr)
+        return 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/measure/limits_cost.py
+++ b/measure/limits_cost.py
@@ -79,9 +79,10 @@
 
 
 class Site:
-    """As much of a node as reads its settings."""
+    """As much of a node as reads its settings, a file of ``count`` routes."""
 
-    def __init__(self, path: Path) -> None:
+    def __init__(self, path: Path, count: int = SIZES[-1]) -> None:
+        self.count = count
         clock = Clock()
         self.loop = Loop(clock, self.failed)
         self.settle = lambda: read_with_source(str(path), {}, {})
@@ -116,8 +117,8 @@
 
     def run(self) -> dict[str, float]:
         self.counters = Counters()
-        old = build(shape(SIZES[-1]), self.settings, 1, self.counters, 0)
-        for n in range(0, SIZES[-1], 10):  # a thousand routes are in use
+        old = build(shape(self.count), self.settings, 1, self.counters, 0)
+        for n in range(0, self.count, 10):  # one route in ten is in use
             old.admit(0, 0, b"/single-text/clinic-%d/list-%d" % (n // 100, n), 4_000_000)
         reader = Reader(self, self.take)  # type: ignore[arg-type]
         self.loop.spawn(self.beat(reader))
--- a/measure/rig.py
+++ b/measure/rig.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
+from urllib.request import urlopen
 
 from rushsaddle.cli_fleet import members_of
 from rushsaddle.cli_jobs import JobsError
@@ -96,6 +97,17 @@
         found: list[list[Any]] = json.loads((self.folder / "calls.json").read_text())
         return found
 
+    def wire(self) -> dict[str, int]:
+        """What went between it and nodes so far: counts, and bytes of HTTP by the node's direction."""
+        with urlopen(f"http://{self.discovery}/wire", timeout=PATIENCE) as answer:
+            found: dict[str, int] = json.load(answer)
+        return found
+
+    def places(self) -> list[str]:
+        """Where its senders listen, by discovery's word."""
+        with urlopen(f"http://{self.discovery}/v1/servers?watch=1", timeout=PATIENCE) as answer:
+            return [target["endpoint"] for target in json.loads(answer.readline())["targets"]]
+
 
 class Node:
     def __init__(
@@ -151,6 +163,14 @@
         fields = Path(f"/proc/{self.process.pid}/stat").read_text().rsplit(")", 1)[1].split()
         return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
+    def running_s(self) -> float:
+        """The same to the nanosecond, of the threads that run now."""
+        tasks = Path(f"/proc/{self.process.pid}/task").iterdir()
+        return sum(int((task / "schedstat").read_text().split()[0]) for task in tasks) / 1e9
+
+    def descriptors(self) -> int:
+        return len(list(Path(f"/proc/{self.process.pid}/fd").iterdir()))
+
     def memory_mb(self) -> float:
         return memory_mb(self.process.pid)
 
--- /dev/null
+++ b/measure/roles.py
@@ -0,0 +1,388 @@
+"""What the decisions of a node cost by size, within this process: no sockets, no other processes.
+
+Processor time is that of this process, which runs the program's own code and little else; memory is what
+Python has allocated (tracemalloc), the same on every machine, or for open jobs this process's resident set.
+Times are microseconds unless a name says otherwise; each function gives one row's figures for a size and a
+seed.
+"""
+
+from __future__ import annotations
+
+import gc
+import heapq
+import json
+import statistics
+import time
+import tracemalloc
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+
+import orjson
+
+from rushsaddle.core.decider import Decider
+from rushsaddle.core.log import Log
+from rushsaddle.core.loop import Clock, Loop
+from rushsaddle.core.names import Names
+from rushsaddle.core.tally import Tally
+from rushsaddle.core.transaction import Branch, Job, Transaction
+from rushsaddle.limits.build import build
+from rushsaddle.limits.gate import Counters, Permit
+from rushsaddle.node import GC
+from rushsaddle.operator.load import read_with_source
+from rushsaddle.parts import Settled
+from tansygw import Dispatcher
+from tansygw.interface import (
+    Action,
+    AttemptEnded,
+    Cancel,
+    Check,
+    CheckResult,
+    Event,
+    ListKind,
+    Outcome,
+    RequestArrived,
+    Send,
+    SetTimer,
+    Settings,
+    Subscribe,
+    TimerFired,
+    WorkerEntry,
+    WorkerList,
+    WorkerState,
+)
+from tansygw.settings import settings_from
+
+from . import waiting_plan
+from .limits_cost import Site, admit_us, lookup_us, platform, shape, table
+from .rig import SETTINGS
+
+Figures = dict[str, float]
+SECOND = 1_000_000
+SLOTS = 8.0  # of each worker
+DRAWS = 100
+JOBS_A_SECOND = 4.0
+CHECK_US = 3_000  # until a check is answered
+JOB_US = 150_000
+WINDOW_S = 30.0  # that checks are counted for at the least
+CYCLE_S = 0.1  # ... and for each worker: a round of checks is spread over so much at this load,
+FULL_S = 0.03  # or over so much where all are full
+
+
+def names(count: int) -> list[str]:
+    return [f"s-{n:08x}" for n in range(count)]
+
+
+def grouped(size: int) -> Settings:
+    """The rig's settings, in a group of ``size`` nodes."""
+    return settings_from({**SETTINGS, "GroupSize": size})[0]
+
+
+def entries(count: int) -> tuple[WorkerEntry, ...]:
+    return tuple(WorkerEntry(name, zone=n % 2, cell=n // 3) for n, name in enumerate(names(count)))
+
+
+def traced(make: Callable[[], object]) -> tuple[object, int]:
+    """What ``make`` gives, and the bytes that are held by it."""
+    gc.collect()
+    tracemalloc.start()
+    try:
+        made = make()
+        gc.collect()
+        return made, tracemalloc.get_traced_memory()[0]
+    finally:
+        tracemalloc.stop()
+
+
+def one_piece(step: Callable[[], object]) -> float:
+    """Processor time of one call, in ms."""
+    began = time.process_time()
+    step()
+    return (time.process_time() - began) * 1e3
+
+
+def heard(dispatcher: Dispatcher, now: int, free: float = SLOTS) -> None:
+    """Every worker has told its figures."""
+    for name in list(dispatcher.workers):
+        dispatcher.step(now, [AttemptEnded(0, 0, name, Outcome.SUCCESS, report={"free_slots": free})])
+
+
+# ---------------------------------------------------------------- the dispatcher
+
+
+def dispatcher(size: int, seed: int, draws: int = DRAWS) -> Figures:
+    """One that knows ``size`` workers, in a group of ``size``: lists taken, then draws at 4 jobs a second."""
+    gc.set_threshold(*GC)
+    settings, listed = grouped(size), entries(size)
+    whole = WorkerList(ListKind.COMPLETE, listed, 1)
+
+    def knowing() -> Dispatcher:
+        made = Dispatcher(settings, seed)
+        made.step(0, [whole])
+        return made
+
+    _, held = traced(knowing)
+    gc.collect()
+    subject = Dispatcher(settings, seed)
+    first_ms = one_piece(lambda: subject.step(0, [whole]))
+    now = 2 * settings.tick_us
+    heard(subject, now)
+    again_ms = one_piece(lambda: subject.step(now, [whole]))
+    gone = WorkerList(ListKind.CHANGES, (WorkerEntry(listed[-1].worker, WorkerState.GONE),), 2)
+    change_ms = one_piece(lambda: subject.step(now, [gone]))
+    draw, costs = Random(seed), []
+    for number in range(1, draws + 1):
+        now += int(draw.expovariate(JOBS_A_SECOND) * SECOND) + 1
+        began = time.process_time()
+        actions = subject.step(now, [RequestArrived(number, number % 2, 5 * SECOND)])
+        costs.append((time.process_time() - began) * 1e3)
+        for sent in [a for a in actions if isinstance(a, Send)]:
+            end = AttemptEnded(number, 0, sent.worker, Outcome.SUCCESS, JOB_US, closed=True)
+            subject.step(now + settings.tick_us, [end])
+    return {
+        "draw_ms": statistics.median(costs), "draw_most_ms": max(costs), "list_ms": first_ms,
+        "list_again_ms": again_ms, "change_ms": change_ms, "held_bytes": held,
+    }
+
+
+class Played:
+    """One dispatcher in virtual time, its checks and jobs answered, and when it checked.
+
+    A worker first tells ``SLOTS`` free; then ``free`` gives the least and the most, of which one is drawn
+    each time: figures move while the fleet works.
+    """
+
+    def __init__(self, settings: Settings, workers: int, seed: int, free: tuple[float, float]) -> None:
+        self.settings = settings
+        self.free = free
+        self.subject = Dispatcher(settings, seed)
+        self.draw = Random(seed)
+        self.coming: list[tuple[int, int, Event]] = []
+        self.count = self.jobs = 0
+        self.sent: dict[int, int] = {}
+        self.checks: list[int] = []  # times
+        self.asked: set[str] = set()
+        self._soon(0, WorkerList(ListKind.SAVED, entries(workers), 1))
+
+    def _soon(self, at: int, event: Event) -> None:
+        self.count += 1
+        heapq.heappush(self.coming, (at, self.count, event))
+
+    def _act(self, now: int, action: Action) -> None:
+        if isinstance(action, Check):
+            self.checks.append(now)
+            free = self.draw.uniform(*self.free) if action.worker in self.asked else SLOTS
+            self.asked.add(action.worker)
+            report = {"free_slots": free}
+            self._soon(now + CHECK_US, CheckResult(action.worker, Outcome.SUCCESS, CHECK_US, report))
+        elif isinstance(action, Send):
+            attempt = self.sent.get(action.request, 0)
+            self.sent[action.request] = attempt + 1
+            end = AttemptEnded(action.request, attempt, action.worker, Outcome.SUCCESS, JOB_US, closed=True)
+            self._soon(now + JOB_US, end)
+        elif isinstance(action, Cancel):
+            end = AttemptEnded(action.request, action.attempt, "", Outcome.WITHDRAWN, JOB_US)
+            self._soon(now + self.settings.tick_us, end)
+        elif isinstance(action, SetTimer):
+            self._soon(now + action.after_us, TimerFired(action.token))
+        elif isinstance(action, Subscribe):
+            self._soon(now + CHECK_US, WorkerList(ListKind.CHANGES, (), 1))
+
+    def run(self, since: int, until: int, jobs_a_second: float = 0.0) -> list[int]:
+        """The times of the checks that were asked for."""
+        before, at = len(self.checks), float(since)
+        while jobs_a_second and (at := at + self.draw.expovariate(jobs_a_second) * SECOND) < until:
+            self.jobs += 1
+            self._soon(int(at), RequestArrived(self.jobs, self.jobs % 2, 5 * SECOND))
+        stepped = since - self.settings.tick_us
+        while self.coming and self.coming[0][0] < until:
+            now = max(self.coming[0][0], stepped + self.settings.tick_us)
+            events = []
+            while self.coming and self.coming[0][0] <= now:
+                events.append(heapq.heappop(self.coming)[2])
+            for action in self.subject.step(now, events):
+                self._act(now, action)
+            stepped = now
+        return self.checks[before:]
+
+
+def busiest(times: list[int]) -> int:
+    """The most in any second."""
+    first = most = 0
+    for n, at in enumerate(times):
+        while times[first] <= at - SECOND:
+            first += 1
+        most = max(most, n + 1 - first)
+    return most
+
+
+def checks(size: int, seed: int, window_s: float = WINDOW_S) -> Figures:
+    """Checks a second of one node that knows ``size`` workers in a group of ``size``, in virtual time.
+
+    ``first``: while each worker is checked for the first time.  ``busy``: then at 4 jobs a second, over a
+    whole round of checks, workers half free or more; ``full``: the same where they are full.  ``idle``:
+    instead without a job for as long, figures still; ``after_idle``: then at 4 jobs a second for
+    ``window_s``.
+    """
+    spread = size * 10_000 + SECOND
+    figures: Figures = {}
+    for name, free, cycle_s in (("busy", (0.5 * SLOTS, SLOTS), CYCLE_S), ("full", (0.0, 0.5), FULL_S)):
+        window = int(max(window_s, size * cycle_s) * SECOND)
+        node = Played(grouped(size), size, seed, free)
+        first = node.run(0, spread, JOBS_A_SECOND)
+        times = node.run(spread, spread + window, JOBS_A_SECOND)
+        figures |= {f"{name}_a_second": len(times) / window * SECOND, f"{name}_most_a_second": busiest(times)}
+        figures["first_a_second"] = len(first) / spread * SECOND
+        figures["first_most_a_second"] = busiest(first)
+    node = Played(grouped(size), size, seed, (SLOTS, SLOTS))
+    node.run(0, spread)
+    quiet, short = int(max(window_s, size * CYCLE_S) * SECOND), int(window_s * SECOND)
+    idle = node.run(spread, spread + quiet)
+    after = node.run(spread + quiet, spread + quiet + short, JOBS_A_SECOND)
+    return figures | {
+        "idle_a_second": len(idle) / quiet * SECOND, "after_idle_a_second": len(after) / window_s,
+    }
+
+
+# ---------------------------------------------------------------- a transaction
+
+
+class Carrier:
+    """Carries branches out to nobody: they stay open."""
+
+    def __init__(self) -> None:
+        self.branches: list[Branch] = []
+
+    def start(self, branch: Branch) -> bool:
+        self.branches.append(branch)
+        return True
+
+    def check(self, worker: str) -> None:
+        """None is answered."""
+
+
+WORKERS_OPEN = 16  # each of at most ``worker.SLOTS_MOST`` slots
+
+
+def transaction(size: int, seed: int) -> Figures:
+    """``size`` jobs open at once in the core of a node (no sockets), on 16 workers with room for all."""
+    gc.set_threshold(*GC)
+    settings = settings_from({**SETTINGS, "Services": [
+        {**service, "HardLimitUs": 3_600_000_000, "OnTimeUs": 3_000_000_000}
+        for service in SETTINGS["Services"]
+    ]})[0]
+    clock = Clock()
+    log = Log("n0", clock.now_us)
+
+    def raised(error: BaseException) -> None:
+        raise error
+
+    def broken() -> None:
+        raise RuntimeError("the decisions failed")
+
+    loop, carrier, costs = Loop(clock, raised), Carrier(), []
+    subject = Dispatcher(settings, seed)
+    decider = Decider(
+        loop, log, subject, settings.tick_us, settings.limits.max_attempts, broken,
+        Tally(len(settings.classes)),
+    )
+    decider.hops = carrier
+    subject.step(0, [WorkerList(ListKind.COMPLETE, entries(WORKERS_OPEN), 1)])
+    heard(subject, 1, min(9_999.0, 4.0 * size / WORKERS_OPEN + 8.0))
+    opened: list[Transaction] = []
+
+    gc.collect()
+    before, began = waiting_plan.resident(), time.process_time()
+    for n in range(size):
+        opened.append(decider.submit(f"r{n:08x}", Job(1), None, n, 3_600_000_000, lambda: None))
+        decider._step(2 + n)
+    open_us = (time.process_time() - began) / size * 1e6
+    gc.collect()
+    held, sent = waiting_plan.resident() - before, len(carrier.branches)
+    for number, branch in enumerate(carrier.branches):
+        began = time.process_time()
+        branch.end(3 + size + number, Outcome.SUCCESS)
+        decider._step(3 + size + number)
+        costs.append((time.process_time() - began) * 1e6)
+    loop.stopped = True
+    loop.run()  # closes what it holds
+    return {
+        "open_bytes": held, "open_us": open_us, "end_us": statistics.median(costs),
+        "end_most_us": max(costs), "sent": sent, "left_open": len(decider.transactions),
+    }
+
+
+# ---------------------------------------------------------------- lists, limits, configuration, waiting
+
+
+def listing(count: int) -> bytes:
+    """A whole list in the service's own form."""
+    targets = [
+        {"uid": name, "endpoint": f"10.{n >> 16}.{n >> 8 & 255}.{n & 255}:8080", "az": "north",
+         "model": "box", "pod_group": n // 3, "capacity_hint": 1.0, "boot_ms": 0, "state": "ready"}
+        for n, name in enumerate(names(count))
+    ]
+    return json.dumps({"rev": 2, "all": True, "targets": targets}).encode() + b"\n"
+
+
+def list_bytes(size: int, seed: int) -> Figures:
+    """A list on the wire, and read into entries by the node's own code."""
+    whole = listing(size)
+    fields = orjson.loads(whole)
+    change = {"rev": 3, "all": False, "targets": [{**fields["targets"][-1], "state": "gone"}]}
+    read = Names.of(SETTINGS["Azs"], SETTINGS["Kinds"])
+    read_ms = one_piece(lambda: read.entries(orjson.loads(whole)["targets"]))
+    return {
+        "whole_bytes": len(whole), "change_bytes": len(json.dumps(change).encode()) + 1, "read_ms": read_ms,
+    }
+
+
+def waiting(size: int, seed: int) -> Figures:
+    """``size`` jobs that wait, due at random within an hour, in the plan; in a process that has done nothing
+    before (``measure/waiting_plan.py``)."""
+    row = waiting_plan.run(size, seed)
+    return {
+        "submit_us": row["submit_us"], "release_us": row["release_us"], "held_bytes": row["bytes"] * size,
+    }
+
+
+def limits(size: int, seed: int) -> Figures:
+    """Admission with a rate for each of ``size`` teams, a route each."""
+    gc.set_threshold(*GC)
+    made = shape(size)
+
+    def in_use() -> object:
+        gate = build(shape(size), platform(), 1, Counters(), 0)
+        for row in table(size)["route"]:
+            permit = gate.admit(0, 0, row["match"].encode(), 4_000_000)
+            assert isinstance(permit, Permit)
+            gate.over(1, permit, True)
+        return gate
+
+    _, held = traced(in_use)
+    return {"admit_us": admit_us(made, size), "lookup_us": lookup_us(made, size), "held_bytes": held}
+
+
+def operator_file(path: Path, count: int) -> int:
+    """Bytes of an operator's file with ``count`` routes."""
+    lines = ["version = 1", "[limits.default]", 'timeout = "4s"']
+    for route in table(count)["route"]:
+        lines += ["[[limits.route]]", f'match = "{route["match"]}"', "rate = 1e6", "burst = 1000"]
+    path.write_text("\n".join(lines) + "\n")
+    return path.stat().st_size
+
+
+def configuration(size: int, seed: int, folder: Path) -> Figures:
+    """One change of an operator's file with ``size`` routes: read whole, and taken."""
+    gc.set_threshold(*GC)
+    path = folder / "operator.toml"
+    length = operator_file(path, size)
+    began = time.process_time()
+    settled = Settled(*read_with_source(str(path), {}, {}), platform())
+    read_ms = (time.process_time() - began) * 1e3
+    assert settled.shape is not None
+    row = Site(path, size).run()
+    return {
+        "file_bytes": length, "read_ms": read_ms, "take_ms": row["swap_ms"],
+        "stall_ms": row["stall_most_ms"],
+    }
--- a/measure/standin.py
+++ b/measure/standin.py
@@ -5,7 +5,8 @@
 FILE is JSON: ``senders`` ([{"slots", "speed", "cell", "zone"}]), ``queue``, ``report_s``, ``silent``
 ([{"sender", "from_s", "to_s"}], from the first request), ``lists_per_s`` (calls for the list a second,
 taken in turn; 0: no bound), ``lists_from_s`` (until then calls are closed).  The first line of output names
-discovery; at SIGTERM the audit is written as JSON to ``audit`` of FILE.
+discovery; at SIGTERM the audit is written as JSON to ``audit`` of FILE.  ``GET /wire`` at discovery tells how
+many checks, jobs and lines of lists there were so far and their bytes of HTTP, as the node sees them.
 """
 
 from __future__ import annotations
@@ -23,6 +24,7 @@
 from typing import Any
 
 MEAN_S = {"single-text": 0.15, "bulk-batch": 0.8}
+WIRE = ("checks", "checks_out", "checks_in", "jobs", "jobs_out", "jobs_in", "lines", "lines_in", "open")
 SIGMA = 0.5  # of the logarithm of running times
 
 
@@ -52,6 +54,7 @@
         self.legs = 0
         self.since = time.monotonic()
         self.turn = asyncio.Lock()  # of the list service: one call at a time
+        self.wire = dict.fromkeys(WIRE, 0)
         self.calls: list[tuple[float, bool, bool]] = []  # time, for a whole list, given up by its caller
 
     def note(self, name: str, cls: str, sender: int, what: str) -> None:
@@ -135,8 +138,10 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        self.sender.world.wire["open"] += 1
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self.sender.world.wire["open"] -= 1
         if self.work is not None:
             self.sender.drop(self.work)
             self.work = None
@@ -152,10 +157,13 @@
                 return
             self.data = rest[length:]
             method, path, _ = lines[0].split(b" ")
+            world = self.sender.world
+            what = "checks" if method == b"GET" else "jobs"
+            world.wire[what] += 1
+            world.wire[f"{what}_out"] += len(head) + 4 + length
             if method == b"GET":
-                self.answer(200, json.dumps({"x0": self.sender.figure}).encode())
+                world.wire["checks_in"] += self.answer(200, json.dumps({"x0": self.sender.figure}).encode())
                 continue
-            world = self.sender.world
             if world.began is None:
                 world.began = time.monotonic()
             attrs = dict(a.split(b"=") for a in fields.get(b"x-attrs", b"").split(b",") if a)
@@ -165,19 +173,24 @@
             )
             self.sender.take(self.work)
 
-    def answer(self, status: int, body: bytes, more: bytes = b"") -> None:
+    def answer(self, status: int, body: bytes, more: bytes = b"") -> int:
+        """The bytes of it."""
         self.work = None
-        self.transport.write(
-            b"HTTP/1.1 %d x\r\n%sContent-Length: %d\r\n\r\n%s" % (status, more, len(body), body)
-        )
+        raw = b"HTTP/1.1 %d x\r\n%sContent-Length: %d\r\n\r\n%s" % (status, more, len(body), body)
+        self.transport.write(raw)
+        return len(raw)
 
     def begin(self) -> None:
-        self.transport.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        raw = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        self.sender.world.wire["jobs_in"] += len(raw)
+        self.transport.write(raw)
 
     def finish(self, fields: dict[str, Any]) -> None:
         self.work = None
         line = json.dumps(fields).encode() + b"\n"
-        self.transport.write(b"%x\r\n%s\r\n0\r\n\r\n" % (len(line), line))
+        raw = b"%x\r\n%s\r\n0\r\n\r\n" % (len(line), line)
+        self.sender.world.wire["jobs_in"] += len(raw)
+        self.transport.write(raw)
 
 
 async def discover(
@@ -187,6 +200,10 @@
     told, came = world.told, time.time()
     try:
         head = await reader.readuntil(b"\r\n\r\n")
+        if head.startswith(b"GET /wire "):
+            writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + json.dumps(world.wire).encode())
+            await writer.drain()
+            return
         whole = b"after=1 " not in head
         if time.monotonic() - world.since < told.get("lists_from_s", 0.0):
             world.calls.append((came, whole, False))
@@ -198,7 +215,10 @@
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         line = json.dumps({"rev": 1, "all": whole, "targets": targets if whole else []}).encode() + b"\n"
         while True:
-            writer.write(b"%x\r\n%s\r\n" % (len(line), line))
+            raw = b"%x\r\n%s\r\n" % (len(line), line)
+            world.wire["lines"] += 1
+            world.wire["lines_in"] += len(raw)
+            writer.write(raw)
             await writer.drain()
             await asyncio.sleep(2)
             line = b"\n"
--- /dev/null
+++ b/tests/scale/test_capacity.py
@@ -0,0 +1,239 @@
+"""The measurements of scale at small sizes: counts, bytes and bounds, the same at any machine's speed."""
+
+from __future__ import annotations
+
+import json
+import os
+import sys
+import tempfile
+import time
+from contextlib import suppress
+from dataclasses import replace
+from functools import partial
+from pathlib import Path
+from subprocess import Popen
+
+import pytest
+
+from measure import capacity, roles, roles_node, worked
+from measure.bounds import Bounds, Need, Refused, Watch, family, machine_mb, used
+from measure.rig import SETTINGS
+from tansygw.decide import CHECK_APART, CHECK_COST, CHECK_FLOOR, CHECK_MORE
+from tansygw.lists import LIST_APART, TOLD_US
+
+FREE = 1e9
+SMALL = Need(1, 1, 1)
+
+
+@pytest.mark.parametrize(
+    ("need", "free_mb", "bound"),
+    [
+        (Need(1001, 1, 1), FREE, "memory: 1001 MB needed, 1000 MB allowed"),
+        (Need(900, 1, 1), 800, "memory: 900 MB needed, 800 MB free"),
+        (Need(1, 301, 1), FREE, "processes: 301 needed, 300 allowed"),
+        (Need(1, 1, 61), FREE, "time: 61 s needed, 60 s allowed"),
+    ],
+)
+def test_a_run_that_would_pass_a_bound_is_refused(need: Need, free_mb: float, bound: str) -> None:
+    with pytest.raises(Refused, match=bound):
+        Bounds(1000, 300, 60).check(need, free_mb)
+
+
+def test_half_of_the_machines_memory_is_the_most_that_can_be_allowed() -> None:
+    half = machine_mb()[0] / 2
+    assert Bounds.here().mb == pytest.approx(half)
+    assert Bounds.here(mb=10 * half).mb == pytest.approx(half)
+    assert Bounds.here(mb=100).mb == 100
+
+
+@pytest.mark.parametrize(
+    ("seen", "why"), [((2000.0, 2), "memory"), ((1.0, 400), "processes"), ((1.0, 2), "time")]
+)
+def test_a_run_that_passes_a_bound_is_stopped_and_its_processes_are_ended(
+    seen: tuple[float, int], why: str
+) -> None:
+    ended = False
+    bounds = Bounds(1000, 300, 1 if why == "time" else 600)
+    stopped = pytest.raises(Refused, match=f"stopped while it ran: {why}")
+    with stopped, Watch(bounds, SMALL, os.getpid(), lambda pid: seen):
+        try:
+            while True:
+                time.sleep(0.1)
+        finally:
+            ended = True
+    assert ended
+
+
+def test_what_is_used_counts_processes_of_processes() -> None:
+    script = "import subprocess, sys; subprocess.run([sys.executable, '-c', 'input()'])"
+    child = Popen([sys.executable, "-c", script], stdin=-1)
+    try:
+        until = time.monotonic() + 30
+        while len(found := family(child.pid)) < 2:
+            assert time.monotonic() < until
+            time.sleep(0.02)
+        mb, processes = used(child.pid)
+        assert processes == 2 and mb > 5
+        assert found[0] == child.pid
+    finally:
+        assert child.stdin is not None
+        child.stdin.close()  # the inner one reads the end, and both are over
+        child.wait(30)
+
+
+def test_the_command_refuses_what_the_machine_has_not_room_for(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    into = tmp_path / "rows.json"
+    assert capacity.main(["slopes", "wire", "--mb", "50", "--into", str(into)]) == 1
+    assert capsys.readouterr().err.startswith("refused: memory")
+    assert capacity.main(["slopes", "dispatcher", "--sizes", "100000000", "--into", str(into)]) == 1
+    assert capsys.readouterr().err.startswith("refused: memory")
+    assert capacity.main(["slopes", "node", "--seconds", "5", "--into", str(into)]) == 1
+    assert capsys.readouterr().err.startswith("refused: time")
+    assert not into.exists()
+
+
+def test_an_unknown_role_is_named() -> None:
+    with pytest.raises(SystemExit) as told:
+        capacity.main(["slopes", "keeper"])
+    assert told.value.code == 2
+
+
+def test_rows_of_a_small_run_are_kept_fitted_and_told(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    into = tmp_path / "rows.json"
+    sizes = ["32", "64", "128", "256"]
+    assert capacity.main(["slopes", "wire", "--sizes", *sizes, "--seeds", "1", "--into", str(into)]) == 0
+    kept = json.loads(into.read_text())
+    run = kept["runs"]["wire"]
+    assert run["command"] == f"python -m measure.capacity slopes wire --sizes {' '.join(sizes)} --seeds 1"
+    assert run["machine"]["cores"] == os.cpu_count() and run["machine"]["python"]
+    assert [row["size"] for row in kept["rows"]] == [int(size) for size in sizes]
+    found = capacity.verdicts(kept)["wire", "whole_bytes"]
+    assert found.fit.form == "n" and abs(found.error_percent) < 1
+    assert capacity.main(["fit", str(into)]) == 0
+    assert "| whole_bytes |" in capsys.readouterr().out
+    # A second run of a role takes the place of its rows, and of no other's.
+    kept["rows"].append({"role": "other", "size": 1, "seed": 0, "figures": {}})
+    into.write_text(json.dumps(kept))
+    assert capacity.main(["slopes", "wire", "--sizes", "32", "--seeds", "1", "--into", str(into)]) == 0
+    assert [row["role"] for row in json.loads(into.read_text())["rows"]] == ["other", "wire"]
+
+
+def test_what_a_dispatcher_keeps_grows_in_step_with_the_workers_it_knows() -> None:
+    small, large = (roles.dispatcher(size, 1, draws=5) for size in (200, 800))
+    assert 3.5 < large["held_bytes"] / small["held_bytes"] < 4.5
+    assert 500 < large["held_bytes"] / 800 < 5_000
+    assert set(small) == set(large)
+
+
+def test_checks_of_a_node_stay_within_what_the_decisions_allow_at_any_size() -> None:
+    """``CHECK_APART`` while workers are first checked; then the budget of checks by jobs."""
+    budget = roles.JOBS_A_SECOND * CHECK_COST * CHECK_MORE / SETTINGS["Prices"]["Probe"]
+    for size in (60, 120):
+        found = roles.checks(size, 1)
+        assert found["first_a_second"] <= 1.05 * roles.SECOND / CHECK_APART
+        assert found["busy_a_second"] <= 1.5 * budget
+        assert found["idle_a_second"] < found["busy_a_second"]
+        assert found["busy_a_second"] < found["full_a_second"] <= 1.5 * budget / CHECK_FLOOR
+
+
+def test_open_jobs_are_all_sent_on_and_leave_nothing_behind() -> None:
+    found = roles.transaction(400, 1)
+    assert found["sent"] == 400 and found["left_open"] == 0
+
+
+def test_a_list_grows_by_its_entries_and_a_change_does_not() -> None:
+    found = {size: roles.list_bytes(size, 0) for size in (100, 200, 400)}
+    step = found[200]["whole_bytes"] - found[100]["whole_bytes"]
+    assert found[400]["whole_bytes"] - found[200]["whole_bytes"] == pytest.approx(2 * step, rel=0.02)
+    assert found[400]["change_bytes"] - found[100]["change_bytes"] < 8
+    assert found[100]["change_bytes"] < found[100]["whole_bytes"] / 20
+
+
+def test_teams_and_routes_are_kept_by_their_number(tmp_path: Path) -> None:
+    few, many = (roles.limits(size, 0)["held_bytes"] for size in (50, 200))
+    assert 2.5 < many / few < 5
+    short, long = (roles.configuration(size, 0, tmp_path)["file_bytes"] for size in (50, 200))
+    assert 3 < long / short < 5
+
+
+def test_jobs_that_wait_are_all_let_go() -> None:
+    assert roles.waiting(300, 1)["submit_us"] > 0
+
+
+def test_a_real_node_checks_each_worker_once_and_serves(tmp_path: Path) -> None:
+    found = roles_node.node(40, 1, tmp_path, window_s=1.5)
+    assert found["kept_connections"] <= 40
+    assert found["check_bytes"] > 60
+    assert found["first_checks_a_second"] <= 1.5 * 40  # in a span of a second, each about once
+    assert found["idle_checks_a_second"] * 1.5 < 40
+    assert found["start_mb"] <= found["mb"] + 1 and found["reread_ms"] > 0
+
+
+def test_a_real_node_holds_each_open_job_on_two_connections(tmp_path: Path) -> None:
+    found = roles_node.opened(60, 1, tmp_path)
+    assert found["sent"] == 60
+    assert 1.5 < found["sockets_each"] <= 2.0  # the senders' kept ones are used again
+    assert found["open_kb_each"] > 0
+
+
+def test_a_real_node_takes_a_list_and_sends_nothing_to_who_leaves(tmp_path: Path) -> None:
+    found = roles_node.listed(40, 1, tmp_path, jobs_asked=5)
+    assert found["entries"] == 40 and found["served"] == 5 and found["to_leaving"] == 0
+
+
+def test_what_is_worked_out_of_lists_follows_the_bounds_in_code() -> None:
+    plan = worked.Plan()
+    found = worked.lists(plan, roles.grouped(plan.nodes), 1_000_000, 200)
+    assert found["assumed_all_s"] == pytest.approx(plan.nodes * LIST_APART / 1e6)
+    assert found["cold_spread_s"] <= TOLD_US / 1e6
+    assert found["cold_calls_a_second"] > found["assumed_calls_a_second"]
+    assert found["zone_service_bytes"] == plan.nodes * plan.zone * 200
+    assert found["quiet_node_bytes_a_second"] == pytest.approx(485 * 200 / 86_400 + 3)
+
+
+def test_what_is_worked_out_of_configuration_and_running_jobs() -> None:
+    plan = worked.Plan()
+    found = worked.configuration(plan, 41.1)
+    assert found["apart_s"] == pytest.approx(4.114, abs=0.001)
+    assert found["percent"] == pytest.approx(1.0, rel=0.01)
+    held = worked.running(plan, 2**20)
+    assert held["a_node"] == held["a_node_mb"] == pytest.approx(19.6) and held["all_mb"] == 98_000
+
+
+def test_a_run_that_is_stopped_leaves_no_process_of_its_own(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Its processes are known by the folder in their environment, whoever is their parent by then."""
+    monkeypatch.setenv("TMPDIR", str(tmp_path))
+    monkeypatch.setattr(tempfile, "tempdir", str(tmp_path))
+    monkeypatch.setitem(capacity.ROLES, "node", replace(capacity.ROLES["node"], seconds=1.0))
+    mark = str(tmp_path).encode()
+
+    def left() -> list[str]:
+        found = []
+        for place in Path("/proc").glob("[0-9]*"):
+            with suppress(OSError):
+                if mark in (place / "environ").read_bytes():
+                    found.append((place / "cmdline").read_bytes().replace(b"\0", b" ").decode())
+        return [line for line in found if "rushsaddle" in line or "standin" in line]
+
+    seen: list[str] = []
+
+    def look(pid: int) -> tuple[float, int]:
+        """Too many processes, as soon as a node runs."""
+        seen[:] = [line for line in left() if "rushsaddle" in line] or seen
+        return 1.0, 1000 if seen else 1
+
+    monkeypatch.setattr(capacity, "Watch", partial(Watch, look=look))
+    into = str(tmp_path / "rows.json")
+    assert capacity.main(["slopes", "node", "--sizes", "40", "--seeds", "2", "--into", into]) == 1
+    assert "refused: stopped while it ran: processes" in capsys.readouterr().err
+    assert seen
+    until = time.monotonic() + 30
+    while left():
+        assert time.monotonic() < until, left()
+        time.sleep(0.05)
