A quota's cost by teams, and what each node counts alone, among the limits' slopes

The decisions' own quotas go through all tenants at each arrival; the role measures it beside admission. No figure: not measured yet.

--- a/measure/capacity.py
+++ b/measure/capacity.py
@@ -204,6 +204,7 @@
 
     settings, rows = roles.grouped(PLAN.nodes), {}
     have = {name for name, _ in found}
+    rows["a team's quota"] = worked.quotas(PLAN)
     if "wire" in have:
         rows["lists"] = worked.lists(PLAN, settings, at("wire", "whole_bytes"), at("wire", "change_bytes"))
     if "node" in have:
--- a/measure/roles.py
+++ b/measure/roles.py
@@ -15,6 +15,7 @@
 import time
 import tracemalloc
 from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 from random import Random
 
@@ -46,6 +47,7 @@
     SetTimer,
     Settings,
     Subscribe,
+    Tenant,
     TimerFired,
     WorkerEntry,
     WorkerList,
@@ -346,8 +348,23 @@
     }
 
 
+def quota_us(size: int, seed: int, arrivals: int = 400) -> float:
+    """An arrival at a dispatcher with quotas for ``size`` teams and 16 workers that are known."""
+    tenants = tuple(Tenant(f"t{n}", 10.0) for n in range(size))
+    subject = Dispatcher(replace(grouped(WORKERS_OPEN), tenants=tenants), seed)
+    subject.step(0, [WorkerList(ListKind.COMPLETE, entries(WORKERS_OPEN), 1)])
+    heard(subject, 1, 1000.0)
+    now, costs = 1, []
+    for number in range(1, arrivals + 1):
+        now += 10_000
+        began = time.process_time()
+        subject.step(now, [RequestArrived(number, 1, 5 * SECOND, tenant=number % size)])
+        costs.append((time.process_time() - began) * 1e6)
+    return statistics.median(costs)
+
+
 def limits(size: int, seed: int) -> Figures:
-    """Admission with a rate for each of ``size`` teams, a route each."""
+    """Admission with a rate for each of ``size`` teams, a route each; and the decisions' own quotas."""
     gc.set_threshold(*GC)
     made = shape(size)
 
@@ -360,7 +377,8 @@
         return gate
 
     _, held = traced(in_use)
-    return {"admit_us": admit_us(made, size), "lookup_us": lookup_us(made, size), "held_bytes": held}
+    return {"admit_us": admit_us(made, size), "lookup_us": lookup_us(made, size), "held_bytes": held,
+            "quota_us": quota_us(size, seed)}
 
 
 def operator_file(path: Path, count: int) -> int:
--- a/tests/scale/test_capacity.py
+++ b/tests/scale/test_capacity.py
@@ -201,6 +201,7 @@
     assert found["apart_s"] == pytest.approx(4.114, abs=0.001)
     assert found["percent"] == pytest.approx(1.0, rel=0.01)
     held = worked.running(plan, 2**20)
+    assert worked.quotas(plan)["at_once_at_all_nodes"] == plan.nodes
     assert held["a_node"] == held["a_node_mb"] == pytest.approx(19.6) and held["all_mb"] == 98_000
 
 
