measure.hollow: hollow members with regions, faults and an audit, and a fleet mixed with real ones

Change: measure/audit.py counts wrong pairs by the changes that members tell, and a scan of all pairs proves the count after each run. measure/regions.py is the virtual network with zones and regions, bytes by member in windows of a second, cuts, and the members' own processor time. measure/hollow.py has the scenarios (cold, join, quiet, kill, zone, region, table), their bounds on memory and time, a table and a chart. measure/mixed.py joins real processes and hollow members on loopback into one fleet. It all uses what the program has today; the program is untouched.

--- /dev/null
+++ b/measure/hollow.py
@@ -0,0 +1,489 @@
+"""A fleet of hollow members in virtual time: thousands in one process, with zones, regions and faults.
+
+    python -m measure.hollow SCENARIO ... [--sizes 100 200 400] [--seeds 5] [--loss 0 0.05] [--jobs 4]
+        [--zones 16] [--regions 6] [--between-ms 20 150] [--cut-s 120] [--one-way] [--codec all|sampled]
+        [--most-s 600] [--most-mb 4000] [--json FILE] [--chart FILE]
+    python -m measure.hollow mixed [--real 20] [--hollow 200] [--for-s 20] [--json FILE]
+
+Scenarios: ``cold`` (all start within a second), ``join`` (one more into a settled fleet), ``quiet``, ``kill``
+(one after another), ``zone`` (all of one at once), ``region`` (cut off, some die on both sides, healed),
+``table`` (one member's memory), and ``mixed``: real processes and hollow members on loopback in one fleet.
+Each run is a process of its own.  Times are virtual and do not follow the machine's speed; processor time is
+that of the members' own code, the network between them counted apart.  A time that is not reached within
+``limit_s`` is null in JSON.  A run that meets ``--most-s`` (real) or ``--most-mb`` is told as not ended.
+"""
+
+from __future__ import annotations
+
+import argparse
+import gc
+import json
+import multiprocessing
+import os
+import resource
+import statistics
+import sys
+import time
+import tracemalloc
+from collections.abc import Callable, Sequence
+from concurrent.futures import ProcessPoolExecutor, as_completed
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from msgspec.structs import replace
+
+from rushsaddle.fleet.members import Members, Rules
+from rushsaddle.fleet.wire import VERSION, Kind, Message, State, Update, decode, encode, room
+
+from .audit import Watch
+from .members import KEY, KILLS, SECOND, Network
+from .regions import WORST_S, Layout, Regions
+from .rig import memory_mb
+
+Row = dict[str, Any]
+STEP_S = 0.1
+QUIET_BYTES = 300  # a datagram has fewer on average once there are no news
+PROGRESS_S = 10.0
+KILL_EVERY_S = 2.0
+GONE_ZONE = 5
+CUT_REGION = 1
+DIE_A_SIDE = 3  # while a region is cut off
+RUN_MB = 150  # a process, before its first member
+
+
+@dataclass(slots=True, frozen=True)
+class Options:
+    """``limit_s`` and ``settle_s`` are virtual, ``most_s`` is real."""
+
+    layout: Layout = field(default_factory=Layout)
+    decoded_one_in: int = 1
+    limit_s: float = 120.0
+    settle_s: float = 60.0
+    quiet_s: float = 20.0
+    cut_s: float = 120.0
+    one_way: bool = False
+    most_s: float = 600.0
+    most_mb: float = 4000.0
+
+
+class NotEnded(Exception):
+    """Which bound a run has met."""
+
+
+class Run:
+    """One network, its bounds, and the row that it fills."""
+
+    def __init__(self, scenario: str, size: int, seed: int, loss: float, options: Options) -> None:
+        self.options = options
+        self.began = self.told = time.monotonic()
+        self.row: Row = {"scenario": scenario, "members": size, "seed": seed, "loss": loss, "ended": True,
+                         "limit_s": options.limit_s}
+        self.network: Regions | None = None
+        self.size, self.seed, self.loss = size, seed, loss
+
+    def fleet(self, start: bool = True) -> Regions:
+        options = self.options
+        self.network = Regions(self.size, self.seed, self.loss, None, options.layout,
+                               options.decoded_one_in, start)
+        return self.network
+
+    def step(self, seconds: float) -> None:
+        network = self.network
+        assert network is not None
+        until = network.now + int(seconds * SECOND)
+        while network.now < until:
+            network.run_to(min(until, network.now + int(STEP_S * SECOND)))
+            now = time.monotonic()
+            if now - self.began > self.options.most_s:
+                raise NotEnded(f"{self.options.most_s:g} s of real time")
+            if memory_mb(os.getpid()) > self.options.most_mb:
+                raise NotEnded(f"{self.options.most_mb:g} MB")
+            if now - self.told > PROGRESS_S:
+                self.told = now
+                row = self.row
+                print(f"{row['scenario']} {row['members']}, seed {row['seed']}: {network.now / SECOND:.1f} s "
+                      f"virtual, {now - self.began:.0f} s real, {memory_mb(os.getpid()):.0f} MB, "
+                      f"{network.audit.wrong} pairs wrong", file=sys.stderr, flush=True)
+
+    def until(self, *watches: Watch, limit_s: float = 0.0) -> None:
+        """Until all hold, or the limit."""
+        assert self.network is not None
+        most = self.network.now + int((limit_s or self.options.limit_s) * SECOND)
+        while any(watch.since is None for watch in watches) and self.network.now < most:
+            self.step(STEP_S)
+
+    def settled(self) -> Regions:
+        """A fleet in which all know all and that is quiet, as far as the program gets there in time."""
+        network = self.fleet()
+        network.settle()
+        self.collect()
+        self.row["told_s"] = time.monotonic() - self.began
+        quiet = False
+        while not quiet and network.now < self.options.settle_s * SECOND:
+            network.mark()
+            self.step(1.0)
+            spent = network.spent
+            quiet = sum(spent.layers) < QUIET_BYTES * spent.messages and not network.audit.wrong
+        network.audit.scan(network.members)
+        self.row |= {"settled": quiet, "settled_s": network.now / SECOND}
+        network.mark()
+        return network
+
+    @staticmethod
+    def collect() -> None:
+        """What stands by now is not looked at by each collection again."""
+        gc.collect()
+        gc.freeze()
+
+    def figures(self) -> None:
+        """What was measured since the mark."""
+        network = self.network
+        if network is None:
+            return
+        spent, traffic, seeds = network.spent, network.traffic, len(network.seeds)
+        time_s = spent.member_us / SECOND or 1.0
+        own = spent.own_ns() / 1e6
+
+        def worst(values: list[int]) -> float:
+            return max(values, default=0) / WORST_S
+
+        self.row |= {
+            "virtual_s": network.now / SECOND, "real_s": time.monotonic() - self.began,
+            "memory_mb": memory_mb(os.getpid(), "VmHWM"), "wrong_pairs": network.audit.wrong,
+            "wrongly_dead": len(network.audit.wrongly), "suspicions": network.audit.suspicions,
+            "datagrams_s": spent.messages / time_s, "bytes_s": sum(spent.layers) / time_s,
+            "bytes_zone_s": spent.layers[0] / time_s, "bytes_region_s": spent.layers[1] / time_s,
+            "bytes_between_s": spent.layers[2] / time_s,
+            "worst_sent_s": worst(traffic.sent_worst), "worst_received_s": worst(traffic.received_worst),
+            "worst_both_s": worst(traffic.both_worst), "worst_seed_both_s": worst(traffic.both_worst[:seeds]),
+            "cpu_ms_s": own / time_s, "codec_ms_s": (own - spent.members_ns / 1e6) / time_s,
+            "worst_cpu_ms_s": 1000 * network.worst_cpu,
+            "stall_ms": spent.stall_ns / 1e6, "stalls": spent.stalls, "stall_in": spent.stalled,
+        }
+
+
+def after(watch: Watch, began: int) -> float | None:
+    """Seconds."""
+    return None if watch.since is None else max(0, watch.since - began) / SECOND
+
+
+# ------------------------------------------------------------ scenarios
+
+
+def cold(run: Run) -> None:
+    """All start within a second, three quarters at random, each with up to 250 ms until its first tick."""
+    network = run.fleet(start=False)
+    size, audit = run.size, network.audit
+    times = sorted(network.random.randrange(SECOND * 3 // 4) for _ in range(size))
+    order = list(range(size))
+    network.random.shuffle(order)
+    for n in range(size):  # the order of numbers is that of zones and seeds, not that of starts
+        network.expect(network.place(n))
+    for at, n in zip(times, order, strict=True):
+        network.run_to(at)
+        network.start(network.place(n))
+    last = network.now
+    pairs = size * (size - 1)
+    most = audit.watch(last, lambda: audit.missing, pairs // 1000)
+    whole = audit.watch(last, lambda: audit.missing)
+    run.until(most, whole)
+    run.step(max(0.0, WORST_S + 1 - network.now / SECOND))
+    run.row |= {"known_999_s": after(most, last), "all_s": after(whole, last),
+                "known_share": audit.known / pairs}
+
+
+def join(run: Run) -> None:
+    network = run.settled()
+    audit, place = network.audit, network.place(run.size)
+    began = network.now
+    network.start(place)
+    number = audit.numbers[place]
+    others = run.size
+
+    def unknown() -> int:
+        return others - audit.right[number]
+
+    most = audit.watch(began, unknown, others // 1000)
+    knows = audit.watch(began, unknown)
+    known = audit.watch(began, lambda: others - audit.up_by[number])
+    run.until(most, knows, known)
+    run.step(max(0.0, WORST_S + 1 - (network.now - began) / SECOND))
+    run.row |= {"known_999_s": after(most, began), "all_s": after(knows, began),
+                "known_by_all_s": after(known, began), "known_share": audit.right[number] / others}
+
+
+def quiet(run: Run) -> None:
+    run.settled()
+    run.step(run.options.quiet_s)
+
+
+def kill(run: Run) -> None:
+    """As ``measure.members`` does: one every two seconds, none of them a seed."""
+    network = run.settled()
+    audit, count = network.audit, min(KILLS, run.size // 4)
+    audit.found_us.clear()
+    for place in network.random.sample(sorted(network.members.keys() - set(network.seeds)), count):
+        network.kill(place)
+        run.step(KILL_EVERY_S)
+    gone = audit.watch(network.now, lambda: audit.ghosts)
+    run.until(gone, limit_s=min(30.0, run.options.limit_s))
+    found = [us / SECOND for us in sorted(audit.found_us)] + [float("inf")] * audit.ghosts
+    run.row |= {"killed": count, "found_median_s": finite(statistics.median(found)),
+                "found_99_s": finite(found[int(0.99 * len(found))]), "found_last_s": finite(found[-1])}
+
+
+def zone(run: Run) -> None:
+    network = run.settled()
+    audit, began = network.audit, network.now
+    places = network.zone_places(GONE_ZONE % run.options.layout.zones)
+    for place in places:
+        network.kill(place)
+    pairs = audit.ghosts
+    most = audit.watch(began, lambda: audit.ghosts, pairs // 100)
+    gone = audit.watch(began, lambda: audit.ghosts)
+    run.until(most, gone)
+    run.step(max(5.0, WORST_S + 1 - (network.now - began) / SECOND))  # who is wrongly dead is told late
+    run.row |= {"killed": len(places), "dead_99_s": after(most, began), "dead_all_s": after(gone, began)}
+
+
+def region(run: Run) -> None:
+    """Cut off for ``cut_s``; some die on both sides meanwhile, none of them a seed."""
+    network, options = run.settled(), run.options
+    audit, seeds = network.audit, set(network.seeds)
+    inside = network.region_numbers(CUT_REGION % options.layout.regions)
+    outside = set(range(run.size)) - inside
+    died: list[str] = []
+    for side in (inside, outside):
+        there = sorted(audit.places[n] for n in side if audit.places[n] not in seeds)
+        died += network.random.sample(there, min(DIE_A_SIDE, len(there) // 2))
+    network.cut_off(inside, outside, both=not options.one_way)
+    audit.excused = lambda by, of: (by in inside) != (of in inside)
+    run.step(options.cut_s / 3)
+    for place in died:
+        network.kill(place)
+    run.step(options.cut_s - options.cut_s / 3)
+    sides = {"inside": inside, "outside": outside}
+    run.row |= {f"up_{name}": sum(audit.runs[n] and audit.up_by[n] > 0 for n in side)
+                for name, side in sides.items()}
+    run.row["suspicions_cut"] = audit.suspicions
+    run.figures()
+    run.row |= {f"cut_{key}": run.row[key] for key in ("bytes_s", "worst_both_s", "cpu_ms_s")}
+    network.mark()
+    network.heal()
+    audit.excused = None
+    began = network.now
+    whole = audit.watch(began, lambda: audit.wrong)
+    most = audit.watch(began, lambda: audit.missing, audit.running * (audit.running - 1) // 1000)
+    run.until(whole, most)
+    run.step(max(5.0, WORST_S + 1 - (network.now - began) / SECOND))
+    run.row |= {"cut_s": options.cut_s, "one_way": options.one_way, "died": len(died),
+                "known_999_s": after(most, began), "whole_s": after(whole, began),
+                "resurrected": audit.resurrections(died),
+                "raised_longest_s": audit.raised_longest_us / SECOND}
+
+
+def told(size: int, whole: bool) -> tuple[Members, Row]:
+    """One member that was told of all others, and the figures of it; ``whole``: by what is decoded."""
+    places = [Network.place(n) for n in range(size)]
+    bare = Message(VERSION, Kind.WELCOME, 0, places[1], 1_000_000)
+    each = room(bare)
+    parts = [encode(KEY, replace(bare, updates=tuple(
+        Update(place, 1_000_000 + n, State.ALIVE) for place in places[n : n + each]
+    ))) for n in range(0, size, each)]
+    passed = [decode(KEY, part) for part in parts]
+    gc.collect()
+    tracemalloc.start()
+    member = Members(places[0], 1_000_000, [places[1]], Rules(), Random(1), 0)
+    longest = 0.0
+    for n, part in enumerate(parts):
+        message = decode(KEY, part) if whole else passed[n]
+        assert message is not None
+        began = time.process_time()
+        member.hear(0, message)
+        longest = max(longest, time.process_time() - began)
+        message = None
+    member.changes.clear()
+    gc.collect()
+    bytes_now, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return member, {"table_mb": bytes_now / 1e6, "bytes_pair": bytes_now / max(1, member.size - 1),
+                    "known_share": (member.size - 1) / max(1, size - 1), "welcome_ms": 1000 * longest}
+
+
+def table(run: Run) -> None:
+    """Memory of one member that knows all; traced, so its times are longer than without."""
+    run.row |= told(run.size, True)[1]
+
+
+SCENARIOS: dict[str, Callable[[Run], None]] = {
+    "cold": cold, "join": join, "quiet": quiet, "kill": kill, "zone": zone, "region": region, "table": table,
+}
+
+
+def finite(value: float) -> float | None:
+    return None if value == float("inf") else value
+
+
+def play(scenario: str, size: int, seed: int, loss: float, options: Options) -> Row:
+    """One run's row."""
+    run = Run(scenario, size, seed, loss, options)
+    gc.collect()
+    was = gc.isenabled()
+    gc.disable()  # members make no circles; collections would look at all tables, which no process has
+    try:
+        SCENARIOS[scenario](run)
+        if run.network is not None:
+            run.network.audit.scan(run.network.members)
+    except NotEnded as bound:
+        run.row |= {"ended": False, "why": f"not ended: {bound}"}
+    except MemoryError:
+        run.row |= {"ended": False, "why": f"not ended: {options.most_mb:g} MB"}
+    finally:
+        run.figures()
+        if was:
+            gc.enable()
+        gc.unfreeze()
+    return run.row
+
+
+# ------------------------------------------------------------ bounds, command
+
+
+def machine_mb() -> float:
+    return os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+
+def needed_mb(size: int, decoded_one_in: int) -> float:
+    """What a run of this size will take, by one member's table in this program."""
+    return RUN_MB + size * float(told(size, decoded_one_in == 1)[1]["table_mb"])
+
+
+def bound_memory(most_mb: float) -> None:
+    """In a run's own process: no more than this, whatever happens."""
+    _, hard = resource.getrlimit(resource.RLIMIT_AS)
+    resource.setrlimit(resource.RLIMIT_AS, (int((most_mb + 2 * RUN_MB) * 1e6), hard))
+
+
+def show(rows: Sequence[Row], of: str) -> None:
+    """Medians with least and most, of the runs that reached it; how many did not stands beside."""
+    keys = {"cold": ("known_999_s", "all_s"), "join": ("known_999_s", "all_s", "known_by_all_s"),
+            "quiet": (), "kill": ("found_median_s", "found_99_s"), "zone": ("dead_99_s", "dead_all_s"),
+            "region": ("known_999_s", "whole_s", "resurrected"),
+            "table": ("table_mb", "bytes_pair", "known_share")}[of]
+    common = () if of == "table" else ("bytes_s", "datagrams_s", "worst_both_s", "cpu_ms_s", "stall_ms",
+                                       "wrongly_dead", "wrong_pairs", "memory_mb", "real_s")
+    print(f"\n{of}\n\n| members | loss | runs | {' | '.join((*keys, *common))} |")
+    print("| --- " * (3 + len(keys) + len(common)) + "|")
+    for size, loss in sorted({(row["members"], row["loss"]) for row in rows}):
+        chosen = [row for row in rows if (row["members"], row["loss"]) == (size, loss)]
+        cells = []
+        for key in (*keys, *common):
+            values = [row[key] for row in chosen if row.get(key) is not None]
+            cell = f"{statistics.median(values):.3g}" if values else ""
+            if values and min(values) != max(values):
+                cell += f" ({min(values):.3g} to {max(values):.3g})"
+            late = len(chosen) - len(values)
+            cells.append(cell + (f" not within limit: {late}" if late else ""))
+        not_ended = sum(not row["ended"] for row in chosen)
+        runs = f"{len(chosen)}" + (f", {not_ended} not ended" if not_ended else "")
+        print(f"| {size} | {loss:g} | {runs} | {' | '.join(cells)} |", flush=True)
+
+
+def draw(rows: Sequence[Row], file: str) -> None:
+    """What decides each scenario, against the size; a run that did not get there stands at the top."""
+    from matplotlib import pyplot
+
+    decides = {"cold": "all_s", "join": "all_s", "quiet": "bytes_s", "kill": "found_99_s",
+               "zone": "dead_99_s", "region": "whole_s", "table": "table_mb"}
+    chosen = [name for name in decides if any(row["scenario"] == name for row in rows)]
+    figure, axes = pyplot.subplots(1, len(chosen), figsize=(3.2 * len(chosen) + 1, 3.4), squeeze=False)
+    for axis, name in zip(axes[0], chosen, strict=True):
+        of, key = [row for row in rows if row["scenario"] == name], decides[name]
+        for loss in sorted({row["loss"] for row in of}):
+            there = [(r["members"], r[key]) for r in of if r["loss"] == loss and r.get(key) is not None]
+            late = [r["members"] for r in of if r["loss"] == loss and r.get(key) is None]
+            points = axis.plot([x for x, _ in there], [y for _, y in there], "o", label=f"loss {loss:g}")
+            sizes = sorted({x for x, _ in there})
+            axis.plot(sizes, [statistics.median([y for x, y in there if x == size]) for size in sizes],
+                      color=points[0].get_color())
+            axis.plot(late, [1.0] * len(late), "x", color="red", transform=axis.get_xaxis_transform())
+        axis.set_title(name)
+        axis.set_ylabel(key)
+        axis.set_xlabel("members (x: not within the limit)")
+        axis.set_ylim(bottom=0)
+        axis.legend(loc="best")
+    figure.tight_layout()
+    figure.savefig(file, dpi=120)
+
+
+def parse(argv: Sequence[str] | None) -> argparse.Namespace:
+    parser = argparse.ArgumentParser(prog="measure.hollow", description=__doc__,
+                                     formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("scenarios", nargs="+", choices=[*SCENARIOS, "mixed"])
+    parser.add_argument("--sizes", type=int, nargs="+", default=[100, 200, 400])
+    parser.add_argument("--seeds", type=int, default=5)
+    parser.add_argument("--loss", type=float, nargs="+", default=[0.0])
+    parser.add_argument("--zones", type=int, default=16)
+    parser.add_argument("--regions", type=int, default=6)
+    parser.add_argument("--between-ms", type=float, nargs=2, default=[20, 150], help="One way.")
+    parser.add_argument("--cut-s", type=float, default=120.0)
+    parser.add_argument("--one-way", action="store_true", help="A region is heard, but hears nobody else.")
+    parser.add_argument("--limit-s", type=float, default=120.0, help="Virtual, for each condition.")
+    parser.add_argument("--settle-s", type=float, default=60.0, help="Virtual.")
+    parser.add_argument("--quiet-s", type=float, default=20.0, help="Virtual.")
+    parser.add_argument("--codec", choices=["all", "sampled"], default="all", help="sampled: one in 16.")
+    parser.add_argument("--jobs", type=int, default=1, help="Runs at once, each a process.")
+    parser.add_argument("--most-s", type=float, default=600.0, help="Real, a run.")
+    parser.add_argument("--most-mb", type=float, default=0.0, help="A run; 0: half of the machine's, shared.")
+    parser.add_argument("--real", type=int, default=20)
+    parser.add_argument("--hollow", type=int, default=200)
+    parser.add_argument("--for-s", type=float, default=20.0)
+    parser.add_argument("--json")
+    parser.add_argument("--chart")
+    return parser.parse_args(argv)
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    given = parse(argv)
+    if "mixed" in given.scenarios:
+        from .mixed import main as mixed
+
+        return mixed(given)
+    jobs = max(1, min(given.jobs, os.cpu_count() or 1))
+    most_mb = min(given.most_mb or machine_mb() / 2, machine_mb() / 2) / jobs
+    one_in = 1 if given.codec == "all" else 16
+    needed = {size: needed_mb(size, one_in) for size in given.sizes}
+    for size, mb in needed.items():
+        print(f"{size} members: some {mb:.0f} MB a run, {most_mb:.0f} allowed", file=sys.stderr)
+        if mb > most_mb and given.scenarios != ["table"]:
+            print(f"refused: {size} members need more memory than a run may have", file=sys.stderr)
+            return 2
+    low, high = given.between_ms
+    options = Options(
+        Layout(given.zones, given.regions, (int(1000 * low), int(1000 * high))), one_in, given.limit_s,
+        given.settle_s, given.quiet_s, given.cut_s, given.one_way, given.most_s, most_mb,
+    )
+    rows: list[Row] = []
+    with ProcessPoolExecutor(jobs, multiprocessing.get_context("spawn"), bound_memory, (most_mb,),
+                             max_tasks_per_child=1) as pool:
+        waiting = [pool.submit(play, scenario, size, seed, loss, options) for scenario in given.scenarios
+                   for size in given.sizes for loss in given.loss for seed in range(given.seeds)]
+        for done in as_completed(waiting):
+            rows.append(done.result())
+            print(json.dumps(rows[-1]), file=sys.stderr, flush=True)
+            if given.json:
+                Path(given.json).write_text(json.dumps(rows) + "\n")
+    rows.sort(key=lambda row: (row["members"], row["loss"], row["seed"]))
+    for scenario in given.scenarios:
+        show([row for row in rows if row["scenario"] == scenario], scenario)
+    if given.json:
+        Path(given.json).write_text(json.dumps(rows) + "\n")
+    if given.chart:
+        draw(rows, given.chart)
+    return 0 if all(row["ended"] for row in rows) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/measure/members.py
+++ b/measure/members.py
@@ -27,10 +27,16 @@
 SEEDS = 3
 KILLS = 10
 SETTLE_S = 12  # until the first is killed
+INFINITY = float("inf")
 
 
 class Network:
-    """Members and the datagrams between them.  ``cut`` says which of them are lost."""
+    """Members and the datagrams between them.  ``cut`` says which of them are lost.
+
+    Times are microseconds.  What a subclass may put another way: where members lie and which are the seeds
+    (``place``, ``seeds_of``), how long a datagram takes (``delay_us``), and what is looked at when one is
+    sent, heard, or changes a table (``_send``, ``_hear``, ``_tick``, ``_changed``).
+    """
 
     def __init__(self, size: int, seed: int, loss: float = 0.0, rules: Rules | None = None,
                  weigh: bool = False) -> None:
@@ -47,8 +53,8 @@
         self.seen: list[tuple[int, str, str, State]] = []  # time, by, of, state
         self._queue: list[tuple[int, int, str, Any]] = []
         self._count = 0
-        self._set: dict[str, int] = {}  # when each one's next tick is set for
-        self.seeds = [self.place(n) for n in range(SEEDS)]
+        self._set: dict[str, float] = {}  # each one's earliest timer that has not gone off
+        self.seeds = self.seeds_of(size)
         for n in range(size):
             self.start(self.place(n))
 
@@ -56,13 +62,20 @@
     def place(n: int) -> str:
         return f"10.0.{n // 250}.{n % 250 + 1}:7400"
 
+    def seeds_of(self, size: int) -> list[str]:
+        return [self.place(n) for n in range(SEEDS)]
+
+    def delay_us(self, source: str, place: str) -> int:
+        return self.random.randrange(1_000, 5_000)
+
     def start(self, place: str) -> None:
         born = 1_000_000 + self.now // 1000
         self.members[place] = Members(
             place, born, self.seeds, self.rules, Random(self.random.getrandbits(64)), self.now
         )
-        self._set[place] = -1
-        self._at(self.now + self.random.randrange(SECOND // 4), place, None)
+        first = self.now + self.random.randrange(SECOND // 4)
+        self._set[place] = first
+        self._at(first, place, None)
 
     def kill(self, place: str) -> None:
         del self.members[place]
@@ -80,34 +93,51 @@
         heapq.heappush(self._queue, (time, self._count, place, message))
 
     def run(self, seconds: float) -> None:
-        until = self.now + int(seconds * SECOND)
-        while self._queue and self._queue[0][0] <= until:
-            time, _, place, message = heapq.heappop(self._queue)
-            self.now = max(self.now, time)
+        self.run_to(self.now + int(seconds * SECOND))
+
+    def run_to(self, until: int) -> None:
+        queue, pop, members, timers = self._queue, heapq.heappop, self.members, self._set
+        while queue and queue[0][0] <= until:
+            time, _, place, message = pop(queue)
+            if time > self.now:
+                self.now = time
             if place in self.paused:
                 self.paused[place].append((time, message))
                 continue
-            member = self.members.get(place)
+            member = members.get(place)
             if member is None:
                 continue
             if message is not None:
-                self._send(place, member.hear(self.now, message))
-            elif self.now >= member.due_us:
-                self._send(place, member.tick(self.now))
-            self.seen += [(self.now, place, change.place, change.now) for change in member.changes]
-            member.changes.clear()
-            if self._set[place] != member.due_us:
-                self._set[place] = member.due_us
+                self._send(place, self._hear(place, member, message))
+            else:
+                if time >= timers[place]:
+                    timers[place] = INFINITY
+                if self.now >= member.due_us:
+                    self._send(place, self._tick(place, member))
+            if member.changes:
+                self._changed(place, member)
+                member.changes.clear()
+            if member.due_us < timers[place]:  # one that is due later is set when the earlier goes off
+                timers[place] = member.due_us
                 self._at(member.due_us, place, None)
         self.now = until
 
+    def _hear(self, place: str, member: Members, message: Any) -> list[Out]:
+        return member.hear(self.now, message)
+
+    def _tick(self, place: str, member: Members) -> list[Out]:
+        return member.tick(self.now)
+
+    def _changed(self, place: str, member: Members) -> None:
+        self.seen += [(self.now, place, change.place, change.now) for change in member.changes]
+
     def _send(self, source: str, out: list[Out]) -> None:
         for place, message in out:
             self.messages += 1
             if self.weigh:
                 self.bytes += len(encode(KEY, message))
             if self.random.random() >= self.loss and not self.cut(source, place):
-                self._at(self.now + self.random.randrange(1_000, 5_000), place, message)
+                self._at(self.now + self.delay_us(source, place), place, message)
 
     def knows(self, place: str, state: State) -> int:
         """How many of the others hold that one for this."""
@@ -116,10 +146,10 @@
 
 def one(size: int, seed: int, loss: float) -> dict[str, Any]:
     network = Network(size, seed, loss)
-    joined = float("inf")
+    joined = INFINITY
     while network.now < SETTLE_S * SECOND:
         network.run(0.1)
-        if joined == float("inf") and all(m.size == size for m in network.members.values()):
+        if joined == INFINITY and all(m.size == size for m in network.members.values()):
             joined = network.now / SECOND
     network.weigh, network.bytes, network.messages = True, 0, 0
     quiet = 5.0
@@ -141,7 +171,7 @@
         if state is State.DEAD and of in killed and when >= killed[of] and by in network.members
     ]
     to_find = len(network.members) * KILLS
-    found = sorted(left) + [float("inf")] * (to_find - len(left))
+    found = sorted(left) + [INFINITY] * (to_find - len(left))
     return {
         "members": size, "loss": loss, "seed": seed, "joined_s": joined, "bytes_s": rate,
         "found_median_s": statistics.median(found), "found_99_s": found[int(0.99 * len(found))],
--- /dev/null
+++ b/measure/regions.py
@@ -0,0 +1,326 @@
+"""Members in zones and regions, in virtual time: delays, loss, cuts, bytes by member, processor time.
+
+The program's own decisions and codec run here (``rushsaddle.fleet.members``, ``rushsaddle.fleet.wire``); what
+passes between them is this network.  It counts the members' own processor time apart from its own, and the
+bytes of the wire by member and second.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Collection
+from dataclasses import dataclass, field
+from random import Random
+from time import process_time_ns
+from typing import Any
+
+from msgspec.structs import replace
+
+from rushsaddle.fleet.members import Members, Out, Rules
+from rushsaddle.fleet.wire import VERSION, Kind, Message, State, Update, decode, encode, room
+
+from .audit import Audit
+from .members import KEY, SECOND, Network
+
+WORST_S = 10  # the worst so many seconds count
+IN_ZONE_US = 200
+IN_REGION_US = 1_000
+BETWEEN_US = (20_000, 150_000)
+JITTER = 0.1  # a delay is longer by up to this share
+STALL_NS = 10_000_000
+FEW = 200  # below this many members there are ``FEW_SEEDS`` seeds, else one a zone
+FEW_SEEDS = 3
+
+
+@dataclass(slots=True, frozen=True)
+class Layout:
+    """Members take turns in zones, and zones in regions; the program is not told of either."""
+
+    zones: int = 16
+    regions: int = 6
+    between_us: tuple[int, int] = BETWEEN_US  # one way, drawn for each pair of regions
+
+    def zone(self, number: int) -> int:
+        return number % self.zones
+
+    def region(self, number: int) -> int:
+        return self.zone(number) % self.regions
+
+    def delays(self, random: Random) -> list[list[int]]:
+        """Microseconds from zone to zone, without jitter."""
+        apart = {(a, b): random.randint(*self.between_us) for a in range(self.regions) for b in range(a)}
+        table = []
+        for a in range(self.zones):
+            row = []
+            for b in range(self.zones):
+                one, other = sorted((a % self.regions, b % self.regions), reverse=True)
+                row.append(IN_ZONE_US if a == b else IN_REGION_US if one == other else apart[one, other])
+            table.append(row)
+        return table
+
+
+@dataclass(slots=True)
+class Traffic:
+    """Bytes by member, in windows of one second; ``mark`` begins anew."""
+
+    sent: list[int] = field(default_factory=list)  # since the second began
+    received: list[int] = field(default_factory=list)
+    windows: deque[tuple[list[int], list[int]]] = field(default_factory=deque)
+    sent_sum: list[int] = field(default_factory=list)  # over the windows
+    received_sum: list[int] = field(default_factory=list)
+    sent_worst: list[int] = field(default_factory=list)
+    received_worst: list[int] = field(default_factory=list)
+    both_worst: list[int] = field(default_factory=list)
+
+    def more(self) -> None:
+        """One member more."""
+        for each in (self.sent, self.received, self.sent_sum, self.received_sum, self.sent_worst,
+                     self.received_worst, self.both_worst):
+            each.append(0)
+
+    def mark(self) -> None:
+        for each in (self.sent, self.received, self.sent_sum, self.received_sum, self.sent_worst,
+                     self.received_worst, self.both_worst):
+            each[:] = [0] * len(each)
+        self.windows.clear()
+
+    def roll(self) -> None:
+        """A second is over."""
+        count = len(self.sent)
+        self.windows.append((self.sent[:], self.received[:]))
+        old: tuple[list[int], list[int]] = ([], [])
+        if len(self.windows) > WORST_S:
+            old = self.windows.popleft()
+        for now, total, gone in ((self.sent, self.sent_sum, old[0]),
+                                 (self.received, self.received_sum, old[1])):
+            for n in range(count):
+                total[n] += now[n]
+            for n, value in enumerate(gone):
+                total[n] -= value
+        self.sent_worst = list(map(max, self.sent_worst, self.sent_sum))
+        self.received_worst = list(map(max, self.received_worst, self.received_sum))
+        both = [a + b for a, b in zip(self.sent_sum, self.received_sum, strict=True)]
+        self.both_worst = list(map(max, self.both_worst, both))
+        self.sent[:] = self.received[:] = [0] * count
+
+
+@dataclass(slots=True)
+class Spent:
+    """Processor time of the members' own code, nanoseconds, and what the network carried."""
+
+    members_ns: int = 0
+    encode_ns: int = 0
+    decode_ns: int = 0
+    decoded: int = 0
+    heard: int = 0
+    member_us: int = 0  # virtual, summed over the members that ran
+    messages: int = 0
+    layers: list[int] = field(default_factory=lambda: [0, 0, 0])  # bytes in a zone, in a region, between
+    stall_ns: int = 0
+    stalls: int = 0
+    stalled: str = ""  # in what, and when
+
+    def own_ns(self) -> float:
+        """With the decoding of those that were not decoded, where only a share was."""
+        return self.members_ns + self.encode_ns + self.decode_ns * self.heard / max(1, self.decoded)
+
+
+class Regions(Network):
+    """``decoded_one_in`` 1: every datagram is decoded by who hears it; 16: one in 16, the others pass as
+    the objects that were encoded.  Each is encoded once, for its bytes."""
+
+    def __init__(self, size: int, seed: int, loss: float = 0.0, rules: Rules | None = None,
+                 layout: Layout | None = None, decoded_one_in: int = 1, start: bool = True) -> None:
+        self.layout = layout or Layout()
+        self.decoded_one_in = decoded_one_in
+        self.audit = Audit()
+        self.traffic = Traffic()
+        self.spent = Spent()
+        self.cuts: list[tuple[Collection[int], Collection[int]]] = []
+        delays = self.layout.delays(Random(seed))
+        self._delays = delays
+        regions = [zone % self.layout.regions for zone in range(self.layout.zones)]
+        self._layers = [[0 if a == b else 1 if regions[a] == regions[b] else 2
+                         for b in range(self.layout.zones)] for a in range(self.layout.zones)]
+        self._zones: list[int] = []  # by number
+        self._second = 0
+        self._peaks: deque[tuple[float, int]] = deque(maxlen=WORST_S)  # own nanoseconds, member-microseconds
+        self._before: tuple[float, int] = (0.0, 0)
+        self.worst_cpu = 0.0  # of a core, a member, in the worst seconds
+        self.size = size
+        super().__init__(size if start else 0, seed, loss, rules)
+
+    def seeds_of(self, size: int) -> list[str]:
+        return [self.place(n) for n in range(self.layout.zones if self.size >= FEW else FEW_SEEDS)]
+
+    def zone_places(self, zone: int) -> list[str]:
+        places = self.audit.places
+        return [p for n, p in enumerate(places) if self.layout.zone(n) == zone and p in self.members]
+
+    def region_numbers(self, region: int) -> set[int]:
+        return {n for n in range(len(self.audit.places)) if self.layout.region(n) == region}
+
+    # ------------------------------------------------------------ faults
+
+    def start(self, place: str) -> None:
+        holders = self._holders(place)
+        self.expect(place)
+        self.audit.started(place, self.now, holders)
+        super().start(place)
+
+    def expect(self, place: str) -> None:
+        """It will start; datagrams to it are lost until then."""
+        number = self.audit.expected(place)
+        if number == len(self._zones):
+            self._zones.append(self.layout.zone(number))
+            self.traffic.more()
+
+    def kill(self, place: str) -> None:
+        held = [m.place for m in self.members[place].up()]
+        super().kill(place)
+        self.paused.pop(place, None)
+        self.audit.killed(place, self.now, held, self._holders(place))
+
+    def _holders(self, place: str) -> list[str]:
+        if place not in self.audit.numbers:
+            return []
+        return [p for p, m in self.members.items() if m.state_of(place) in (State.ALIVE, State.SUSPECT)]
+
+    def leave(self, place: str) -> None:
+        """It ends on purpose, and says so."""
+        self._send(place, self.members[place].leave())
+        self.kill(place)
+
+    def cut_off(self, sources: Collection[int], places: Collection[int], both: bool = True) -> None:
+        """What the numbers ``sources`` send to ``places`` is lost; ``both``: what those send back, too."""
+        self.cuts.append((frozenset(sources), frozenset(places)))
+        if both:
+            self.cuts.append((frozenset(places), frozenset(sources)))
+
+    def heal(self) -> None:
+        self.cuts.clear()
+
+    def is_cut(self, source: int, place: int) -> bool:
+        return any(source in a and place in b for a, b in self.cuts)
+
+    # ------------------------------------------------------------ time
+
+    def mark(self) -> None:
+        """Figures begin anew: what comes now is what is measured."""
+        self.traffic.mark()
+        self.spent = Spent()
+        self._peaks.clear()
+        self._before = (0.0, 0)
+        self.worst_cpu = 0.0
+
+    def run_to(self, until: int) -> None:
+        while self.now < until:
+            second = (self.now // SECOND + 1) * SECOND
+            began, to = self.now, min(second, until)
+            super().run_to(to)
+            self.spent.member_us += (to - began) * len(self.members)
+            if to == second:
+                self._roll()
+
+    def _roll(self) -> None:
+        self.traffic.roll()
+        own, passed = self.spent.own_ns(), self.spent.member_us
+        self._peaks.append((own - self._before[0], passed - self._before[1]))
+        self._before = own, passed
+        time = sum(passed for _, passed in self._peaks)
+        if len(self._peaks) == WORST_S and time:
+            self.worst_cpu = max(self.worst_cpu, sum(own for own, _ in self._peaks) / 1000 / time)
+
+    # ------------------------------------------------------------ the members' own code, timed
+
+    def _stalled(self, ns: int, what: str, place: str) -> None:
+        spent = self.spent
+        if ns > STALL_NS:
+            spent.stalls += 1
+        if ns > spent.stall_ns:
+            spent.stall_ns = ns
+            spent.stalled = f"{what} by {place} at {self.now / SECOND:.3f} s"
+
+    def _tick(self, place: str, member: Members) -> list[Out]:
+        began = process_time_ns()
+        out = member.tick(self.now)
+        ns = process_time_ns() - began
+        self.spent.members_ns += ns
+        if ns > self.spent.stall_ns or ns > STALL_NS:
+            self._stalled(ns, "a tick", place)
+        return out
+
+    def _hear(self, place: str, member: Members, message: Any) -> list[Out]:
+        spent = self.spent
+        spent.heard += 1
+        if type(message) is bytes:
+            length = len(message)
+            began = process_time_ns()
+            heard = decode(KEY, message)
+            decoded = process_time_ns()
+            spent.decode_ns += decoded - began
+            spent.decoded += 1
+            if heard is None:
+                raise RuntimeError(f"{place} was sent what it cannot decode")
+        else:
+            heard, length = message
+            decoded = process_time_ns()
+        out = member.hear(self.now, heard)
+        ns = process_time_ns() - decoded
+        spent.members_ns += ns
+        self.traffic.received[self.audit.numbers[place]] += length
+        if ns > spent.stall_ns or ns > STALL_NS:
+            self._stalled(ns, f"a {heard.kind.name}", place)
+        return out
+
+    def _changed(self, place: str, member: Members) -> None:
+        self.audit.changed(place, member.changes, self.now)
+
+    def _send(self, source: str, out: list[Out]) -> None:
+        if not out:
+            return
+        spent, random, numbers, zones = self.spent, self.random.random, self.audit.numbers, self._zones
+        by = numbers[source]
+        delays, layers = self._delays[zones[by]], self._layers[zones[by]]
+        for place, message in out:
+            began = process_time_ns()
+            data = encode(KEY, message)
+            spent.encode_ns += process_time_ns() - began
+            spent.messages += 1
+            length = len(data)
+            self.traffic.sent[by] += length
+            to = numbers.get(place)
+            if to is None:
+                raise RuntimeError(f"{source} speaks to {place}, which never was")
+            zone = zones[to]
+            spent.layers[layers[zone]] += length
+            if (self.loss and random() < self.loss) or (self.cuts and self.is_cut(by, to)):
+                continue
+            whole = spent.messages % self.decoded_one_in == 0
+            delay = int(delays[zone] * (1.0 + JITTER * random()))
+            self._at(self.now + delay, place, data if whole else (message, length))
+
+    # ------------------------------------------------------------ a settled start
+
+    def settle(self) -> None:
+        """Each member is welcomed with all others at once, as by a seed, before anything else happens.
+
+        True to the program: they hear what a WELCOME of that many would tell them, in datagrams of the size
+        that the codec allows.  Call it at time 0, then run until it is quiet.
+        """
+        born = {place: member.incarnation for place, member in self.members.items()}
+        updates = [Update(place, incarnation, State.ALIVE) for place, incarnation in born.items()]
+        by_seed = {}
+        for seed in self.seeds[:2]:  # the second welcomes the first
+            bare = Message(VERSION, Kind.WELCOME, 0, seed, born[seed])
+            each = room(bare)
+            by_seed[seed] = [replace(bare, updates=tuple(updates[n : n + each]))
+                             for n in range(0, len(updates), each)]
+        first, second = by_seed.values()
+        for place, member in self.members.items():
+            chunks = second if place == self.seeds[0] else first
+            turn = self.random.randrange(len(chunks))  # tables are in no common order
+            for chunk in (*chunks[turn:], *chunks[:turn]):
+                member.hear(self.now, chunk)
+                self.audit.changed(place, member.changes, self.now)
+                member.changes.clear()
