tests/scale: a small size of each hollow scenario, its audit, its bounds, and the mixed fleet

Need: the scenarios of measure.hollow, the audit's counts and the bounds had no test.

Change: tests/scale/test_hollow.py. Times in it are virtual, only the mixed fleet waits for conditions. A condition that is reached after the limit, in the seconds that a run goes on, is no longer told as reached: the test of the command showed that it was.

--- a/measure/hollow.py
+++ b/measure/hollow.py
@@ -164,9 +164,11 @@
         }
 
 
-def after(watch: Watch, began: int) -> float | None:
-    """Seconds."""
-    return None if watch.since is None else max(0, watch.since - began) / SECOND
+def after(watch: Watch, began: int, run: Run) -> float | None:
+    """Seconds; None where it did not hold within the limit, or does no more."""
+    if watch.since is None or watch.since - began > run.options.limit_s * SECOND:
+        return None
+    return max(0, watch.since - began) / SECOND
 
 
 # ------------------------------------------------------------ scenarios
@@ -190,7 +192,7 @@
     whole = audit.watch(last, lambda: audit.missing)
     run.until(most, whole)
     run.step(max(0.0, WORST_S + 1 - network.now / SECOND))
-    run.row |= {"known_999_s": after(most, last), "all_s": after(whole, last),
+    run.row |= {"known_999_s": after(most, last, run), "all_s": after(whole, last, run),
                 "known_share": audit.known / pairs}
 
 
@@ -210,8 +212,8 @@
     known = audit.watch(began, lambda: others - audit.up_by[number])
     run.until(most, knows, known)
     run.step(max(0.0, WORST_S + 1 - (network.now - began) / SECOND))
-    run.row |= {"known_999_s": after(most, began), "all_s": after(knows, began),
-                "known_by_all_s": after(known, began), "known_share": audit.right[number] / others}
+    run.row |= {"known_999_s": after(most, began, run), "all_s": after(knows, began, run),
+                "known_by_all_s": after(known, began, run), "known_share": audit.right[number] / others}
 
 
 def quiet(run: Run) -> None:
@@ -245,7 +247,8 @@
     gone = audit.watch(began, lambda: audit.ghosts)
     run.until(most, gone)
     run.step(max(5.0, WORST_S + 1 - (network.now - began) / SECOND))  # who is wrongly dead is told late
-    run.row |= {"killed": len(places), "dead_99_s": after(most, began), "dead_all_s": after(gone, began)}
+    run.row |= {"killed": len(places), "dead_99_s": after(most, began, run),
+                "dead_all_s": after(gone, began, run)}
 
 
 def region(run: Run) -> None:
@@ -279,7 +282,7 @@
     run.until(whole, most)
     run.step(max(5.0, WORST_S + 1 - (network.now - began) / SECOND))
     run.row |= {"cut_s": options.cut_s, "one_way": options.one_way, "died": len(died),
-                "known_999_s": after(most, began), "whole_s": after(whole, began),
+                "known_999_s": after(most, began, run), "whole_s": after(whole, began, run),
                 "resurrected": audit.resurrections(died),
                 "raised_longest_s": audit.raised_longest_us / SECOND}
 
--- /dev/null
+++ b/tests/scale/test_hollow.py
@@ -0,0 +1,310 @@
+"""A small size of each scenario of hollow members: what holds at any speed of the machine, and their audit.
+
+All times asserted are virtual, but for the mixed fleet, which waits for conditions.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import pytest
+
+from measure import hollow
+from measure.audit import RAISED_MOST_US, Audit
+from measure.hollow import Options, play
+from measure.members import SECOND
+from measure.mixed import MixedFleet
+from measure.regions import IN_REGION_US, IN_ZONE_US, Layout, Regions
+from measure.rig import until
+from rushsaddle.fleet.members import Change
+from rushsaddle.fleet.wire import State
+
+NEAR = Layout(between_us=(2_000, 30_000))
+OPTIONS = Options(NEAR, limit_s=40.0, settle_s=20.0, quiet_s=11.0, cut_s=15.0)
+MEASURED = ("real_s", "told_s", "memory_mb", "cpu_ms_s", "codec_ms_s", "worst_cpu_ms_s", "stall_ms", "stalls",
+            "stall_in")  # of this machine, not of the members
+
+
+def virtual(row: dict[str, Any]) -> dict[str, Any]:
+    return {key: value for key, value in row.items() if key not in MEASURED}
+
+
+def sound(row: dict[str, Any], **but: int) -> None:
+    """It ended, and at its end everybody is right about everybody; its scan has agreed with its counts."""
+    assert row["ended"], row
+    expected = {"wrong_pairs": 0, "wrongly_dead": 0} | but
+    assert {key: row[key] for key in expected} == expected
+    assert row["datagrams_s"] > 0 and row["bytes_s"] > 0
+    parts = row["bytes_zone_s"] + row["bytes_region_s"] + row["bytes_between_s"]
+    assert parts == pytest.approx(row["bytes_s"])
+    assert row["worst_both_s"] <= row["worst_sent_s"] + row["worst_received_s"]
+
+
+# ------------------------------------------------------------ scenarios
+
+
+@pytest.mark.parametrize("loss", [0.0, 0.05])
+def test_all_that_start_within_a_second_know_all(loss: float) -> None:
+    row = play("cold", 60, 1, loss, OPTIONS)
+    sound(row)
+    assert row["known_share"] == 1.0
+    assert 0 <= row["known_999_s"] <= row["all_s"] < row["limit_s"]
+
+
+def test_regions_far_apart_know_each_other_after_a_cold_start() -> None:
+    row = play("cold", 40, 2, 0.0, Options(limit_s=40.0))
+    assert row["ended"] and row["all_s"] is not None
+
+
+def test_a_new_one_knows_all_and_all_know_it() -> None:
+    row = play("join", 100, 1, 0.0, OPTIONS)
+    sound(row)
+    assert row["settled"] and row["known_share"] == 1.0
+    assert row["known_999_s"] <= row["all_s"] and row["known_by_all_s"] > 0
+
+
+def test_a_quiet_fleet_says_little_and_suspects_nobody() -> None:
+    row = play("quiet", 100, 1, 0.0, OPTIONS)
+    sound(row, suspicions=0)
+    assert row["settled"] and row["bytes_s"] < 1024 and row["worst_seed_both_s"] <= row["worst_both_s"]
+    assert row["worst_both_s"] >= row["bytes_s"]
+
+
+@pytest.mark.parametrize("loss", [0.0, 0.05])
+def test_the_dead_are_found_by_all_one_after_another(loss: float) -> None:
+    row = play("kill", 40, 1, loss, OPTIONS)
+    sound(row)
+    assert row["killed"] == 10
+    assert 0 < row["found_median_s"] <= row["found_99_s"] <= row["found_last_s"] < 30
+
+
+def test_a_zone_that_is_gone_at_once_is_found_and_nobody_else() -> None:
+    row = play("zone", 80, 1, 0.0, OPTIONS)
+    sound(row)
+    assert row["killed"] == 5 and 0 < row["dead_99_s"] <= row["dead_all_s"] < 30
+
+
+@pytest.mark.parametrize("one_way", [False, True])
+def test_a_region_cut_off_is_whole_again_and_nobody_is_resurrected(one_way: bool) -> None:
+    options = Options(NEAR, limit_s=40.0, settle_s=20.0, cut_s=15.0, one_way=one_way)
+    row = play("region", 48, 1, 0.0, options)
+    assert row["ended"] and row["wrong_pairs"] == 0
+    assert row["died"] == 6 and row["resurrected"] == 0
+    assert row["whole_s"] is not None and row["known_999_s"] <= row["whole_s"]
+
+
+def test_a_run_is_the_same_again_and_with_a_share_of_the_decoding() -> None:
+    def row(one_in: int) -> dict[str, Any]:
+        return virtual(play("cold", 40, 3, 0.05, Options(NEAR, one_in, limit_s=10.0)))
+
+    first = row(1)
+    assert first == row(1) == row(16)
+
+
+def test_a_table_grows_with_the_members_that_are_told() -> None:
+    small, large = (play("table", size, 0, 0.0, OPTIONS) for size in (100, 400))
+    assert small["known_share"] == large["known_share"] == 1.0
+    assert 2 < large["table_mb"] / small["table_mb"] < 8
+
+
+# ------------------------------------------------------------ the network
+
+
+def test_delays_are_those_of_zones_and_regions() -> None:
+    layout = Layout()
+    delays = layout.delays(Random(1))
+    assert layout.delays(Random(1)) == delays != layout.delays(Random(2))
+    for a in range(16):
+        for b in range(16):
+            assert delays[a][b] == delays[b][a]
+            if a == b:
+                assert delays[a][b] == IN_ZONE_US
+            elif layout.region(a) == layout.region(b):
+                assert delays[a][b] == IN_REGION_US
+            else:
+                assert 20_000 <= delays[a][b] <= 150_000
+    assert {layout.region(n) for n in range(5000)} == set(range(6))
+
+
+def test_a_cut_one_way_loses_that_way_only() -> None:
+    network = Regions(12, 1, 0.0, None, NEAR)
+    network.cut_off({0, 1}, {2}, both=False)
+    assert network.is_cut(0, 2) and not network.is_cut(2, 0) and not network.is_cut(0, 1)
+    network.cut_off({3}, {4})
+    assert network.is_cut(3, 4) and network.is_cut(4, 3)
+    network.heal()
+    assert not network.is_cut(0, 2) and not network.is_cut(3, 4)
+
+
+def test_what_is_sent_is_what_is_heard_without_loss() -> None:
+    network = Regions(20, 1, 0.0, None, NEAR)
+    network.run(3)
+    network.mark()
+    network.run(9.5)
+    sent = sum(network.traffic.sent_sum) + sum(network.traffic.sent)
+    heard = sum(network.traffic.received_sum) + sum(network.traffic.received)
+    assert sent == sum(network.spent.layers)
+    assert abs(sent - heard) <= 1200 * 20  # on their way at the beginning and the end
+    assert network.spent.member_us == 20 * 9_500_000
+
+
+# ------------------------------------------------------------ the audit
+
+
+def test_the_counts_are_those_of_a_scan_whatever_happens() -> None:
+    network, random = Regions(30, 4, 0.05, None, NEAR), Random(4)
+    audit = network.audit
+    gone: list[str] = []
+    for n in range(24):
+        what = random.choice(["kill", "start", "pause", "cut", "heal", "leave"])
+        running = sorted(network.members.keys() - set(network.paused))
+        if what == "kill" and len(running) > 12:
+            gone.append(random.choice(running))
+            network.kill(gone[-1])
+        elif what == "leave" and len(running) > 12:
+            gone.append(random.choice(running))
+            network.leave(gone[-1])
+        elif what == "start" and gone:
+            network.start(gone.pop())
+        elif what == "pause":
+            network.pause(random.choice(running))
+        elif what == "cut":
+            network.cut_off(set(random.sample(range(30), 8)), set(random.sample(range(30), 8)), n % 2 == 0)
+        else:
+            network.heal()
+        network.run(random.uniform(0.1, 3.0))
+        for place in list(network.paused) if n % 5 == 0 else ():
+            network.resume(place)
+        audit.scan(network.members)
+        right = sum(m.state_of(p) in (State.ALIVE, State.SUSPECT) for by, m in network.members.items()
+                    for p in network.members if p != by)
+        assert audit.missing == len(network.members) * (len(network.members) - 1) - right
+    for place in list(network.paused):
+        network.resume(place)
+    network.heal()
+    network.run(40)
+    assert audit.wrong == 0
+
+
+def spoiled_count(audit: Audit) -> None:
+    audit.up_by[3] += 1
+
+
+def spoiled_ghosts(audit: Audit) -> None:
+    audit.ghosts += 1
+
+
+def spoiled_right(audit: Audit) -> None:
+    audit.right[3] -= 1
+
+
+def spoiled_truth(audit: Audit) -> None:
+    audit.runs[3] = False
+
+
+@pytest.mark.parametrize("spoil", [spoiled_count, spoiled_ghosts, spoiled_right, spoiled_truth])
+def test_a_count_that_is_wrong_is_found_by_the_scan(spoil: Callable[[Audit], None]) -> None:
+    network = Regions(8, 1, 0.0, None, NEAR)
+    network.run(4)
+    network.audit.scan(network.members)
+    spoil(network.audit)
+    with pytest.raises(RuntimeError, match="audit"):
+        network.audit.scan(network.members)
+
+
+def three() -> Audit:
+    """Three that run and know each other, by what they told."""
+    audit = Audit()
+    for place in "abc":
+        audit.started(place, 0, ())
+    for place in "abc":
+        audit.changed(place, [Change(other, None, State.ALIVE) for other in "abc" if other != place], 1)
+    assert audit.wrong == 0
+    return audit
+
+
+def test_one_that_runs_and_is_held_for_dead_is_counted_but_not_across_a_cut() -> None:
+    audit = three()
+    audit.excused = lambda by, of: (by, of) == (0, 1)
+    audit.changed("a", [Change("b", State.SUSPECT, State.DEAD)], 2)
+    assert audit.wrongly == set() and audit.missing == 1
+    audit.changed("c", [Change("b", State.SUSPECT, State.DEAD)], 3)
+    assert audit.wrongly == {1} and audit.missing == 2
+
+
+@pytest.mark.parametrize(("held_us", "expected"), [
+    (RAISED_MOST_US, 0), (RAISED_MOST_US + 1, 1), (None, 1),
+])
+def test_a_dead_one_that_is_held_for_up_again_for_long_or_at_the_end_is_resurrected(
+    held_us: int | None, expected: int
+) -> None:
+    audit = three()
+    audit.killed("b", 10, ["a", "c"], ["a", "c"])
+    assert audit.ghosts == 2 and audit.missing == 0
+    watch = audit.watch(10, lambda: audit.ghosts)
+    for place in "ac":
+        audit.changed(place, [Change("b", State.SUSPECT, State.DEAD)], 5 * SECOND)
+    assert watch.since == 5 * SECOND and audit.found_us == [5 * SECOND - 10] * 2
+    audit.changed("a", [Change("b", State.DEAD, State.ALIVE)], 6 * SECOND)
+    assert watch.since is None and audit.ghosts == 1
+    if held_us is not None:
+        audit.changed("a", [Change("b", State.ALIVE, State.DEAD)], 6 * SECOND + held_us)
+    assert audit.resurrections(["b"]) == expected
+
+
+# ------------------------------------------------------------ bounds and command
+
+
+@pytest.mark.parametrize(("options", "why"), [
+    (Options(NEAR, most_s=0.0), "0 s of real time"), (Options(NEAR, most_mb=1.0), "1 MB"),
+])
+def test_a_run_that_meets_a_bound_is_told_as_not_ended(options: Options, why: str) -> None:
+    row = play("quiet", 20, 1, 0.0, options)
+    assert not row["ended"] and why in row["why"] and "virtual_s" in row
+
+
+def test_a_size_that_needs_more_memory_than_allowed_is_refused(capsys: pytest.CaptureFixture[str]) -> None:
+    assert hollow.main(["quiet", "--sizes", "40", "400", "--most-mb", "151"]) == 2
+    assert "refused: 400 members" in capsys.readouterr().err
+
+
+def test_the_command_keeps_a_row_for_each_run_and_tells_what_was_not_reached(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    file = tmp_path / "rows.json"
+    given = ["cold", "--sizes", "20", "--seeds", "2", "--limit-s", "0.1", "--between-ms", "2", "30"]
+    assert hollow.main([*given, "--json", str(file)]) == 0
+    rows = json.loads(file.read_text())
+    assert [(row["seed"], row["ended"], row["all_s"]) for row in rows] == [(0, True, None), (1, True, None)]
+    assert "| 20 | 0 | 2 |" in (out := capsys.readouterr().out) and "not within limit: 2" in out
+
+
+# ------------------------------------------------------------ real ones among them
+
+
+@pytest.fixture
+def mixed(tmp_path: Path) -> Iterator[MixedFleet]:
+    fleet = MixedFleet(tmp_path, 2, 10)
+    yield fleet
+    fleet.stop()
+
+
+def test_real_and_hollow_members_are_one_fleet_and_find_each_others_dead(mixed: MixedFleet) -> None:
+    until("all know all", mixed.all_know_all)
+    mixed.ask("mark")
+    until("each hears from each real and each hollow one", lambda: all(
+        min(mixed.ask("tell")[key]) > 0 for key in ("heard_datagrams_real", "heard_datagrams_hollow")
+    ))
+    told = mixed.ask("tell")
+    assert told["strangers"] == 0 and told["members"] == 10 and told["real"] == 2
+    dead_hollow, dead_real = mixed.hollow_places[4], mixed.fleet.places[1]
+    mixed.ask(f"kill {dead_hollow}")
+    mixed.fleet.nodes[1].kill()
+    for dead in (dead_hollow, dead_real):
+        until("the hollow ones find it", lambda dead=dead: not mixed.ask(f"up {dead}"))  # type: ignore[misc]
+        until("the real one finds it", lambda dead=dead: not mixed.held_up_by_real(dead))  # type: ignore[misc]
+    until("and nobody else is gone", mixed.all_know_all)
