--- a/measure/regions.py
+++ b/measure/regions.py
@@ -116,10 +116,15 @@
     member_us: int = 0  # virtual, summed over the members that ran
     messages: int = 0
     layers: list[int] = field(default_factory=lambda: [0, 0, 0])  # bytes in a zone, in a region, between
+    began_ns: int = field(default_factory=process_time_ns)  # the whole process', the network's with it
     stall_ns: int = 0
     stalls: int = 0
     stalled: str = ""  # in what, and when
 
+    def network_ns(self) -> int:
+        """What the network itself has taken so far."""
+        return process_time_ns() - self.began_ns - self.members_ns - self.encode_ns - self.decode_ns
+
     def own_ns(self) -> float:
         """With the decoding of those that were not decoded, where only a share was."""
         return self.members_ns + self.encode_ns + self.decode_ns * self.heard / max(1, self.decoded)
