--- a/rushsaddle/fleet/service.py
+++ b/rushsaddle/fleet/service.py
@@ -325,7 +325,7 @@
             "direct": self.shelf.direct, "fetched": self.pulls, "failed": self.pulls_failed,
             "strangers": self.strangers, "members": [
                 {"place": m.place, "state": m.state.name.lower(), "incarnation": m.incarnation,
-                 "list": _plain(m.stamp)}
+                 "list": _plain(members.stamps.get(m.place))}
                 for m in sorted(members.others.values(), key=lambda m: m.place)
             ],
         }
--- a/rushsaddle/fleet/wire.py
+++ b/rushsaddle/fleet/wire.py
@@ -2,12 +2,23 @@
 
 A datagram is a MessagePack array and, behind it, 16 bytes of its HMAC-SHA256 by the fleet's key.  Whoever has
 not the key changes nothing: ``decode`` returns None for it before a byte is read as a message.  What has the
-key is still checked field by field.  Sources: SWIM (Das, Gupta, Motivala 2002), RFC 2104 and 4868.
+key is still checked field by field, and ``fault`` says what was wrong.  Sources: SWIM (Das, Gupta, Motivala
+2002), RFC 2104 and 4868.
+
+Version 1: [1, kind, number, source, incarnation, stamp, target, updates, speaks], where an update is [place,
+incarnation, state, by].  The last one came later; who does not know it passes over it.
+Version 2: [2, kind, number, head, root, stamp, target, body], without what is nil or empty at its end.  The
+head is the sender's own entry (12 bytes, see ``table``), the target 6 bytes.  The body of COMPARE is the
+vector, that of ENTRIES a byte n, n leaves that are told whole, and 12 bytes an entry; all others have rumours
+there, an entry and 4 bytes of who accuses it.
+
+Bounds: a datagram takes ``MESSAGE_MOST`` bytes: ``RUMOURS_MOST`` rumours, or ``ENTRIES_MOST`` entries.
 """
 
 from __future__ import annotations
 
 import hmac
+import struct
 import zlib
 from collections.abc import Mapping
 from enum import IntEnum
@@ -17,8 +28,12 @@
 import orjson
 
 from ..core.names import LIST_MOST
+from .table import ENTRY_BYTES, PLACE_BYTES, VECTOR, Entry, entry_of, packed_place, place_of
+from .table import State as State
+from .table import entry as entry_for
 
 VERSION = 1
+SECOND = 2  # the version with roots, vectors and entries
 MESSAGE_MOST = 1200  # bytes of a datagram: below the least MTU of the paths that count, without fragments
 TAG = 16  # bytes of the HMAC that are sent
 KEY_LEAST = 16  # bytes
@@ -27,6 +42,7 @@
 
 Place = Annotated[str, msgspec.Meta(pattern=r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$", max_length=21)]
 Number = Annotated[int, msgspec.Meta(ge=0, lt=2**62)]
+Speaks = Annotated[int, msgspec.Meta(ge=1, le=2)]
 
 
 class Kind(IntEnum):
@@ -36,13 +52,8 @@
     NACK = 3  # it has not answered me either
     JOIN = 4  # tell me of the members
     WELCOME = 5
-
-
-class State(IntEnum):
-    ALIVE = 0
-    SUSPECT = 1
-    DEAD = 2
-    LEFT = 3
+    COMPARE = 6  # these are my leaves' digests: tell me the leaves that differ
+    ENTRIES = 7
 
 
 class Stamp(msgspec.Struct, array_like=True, frozen=True):
@@ -64,10 +75,30 @@
     incarnation: Number
     state: State
     by: Annotated[int, msgspec.Meta(ge=0, lt=2**32)] = 0
+    speaks: Speaks = 1  # told in version 2 only
+
+
+class Message(msgspec.Struct, frozen=True):
+    """``source`` is where the sender hears; an ACK or NACK has the ``number`` of what it answers.  ``speaks``
+    is the highest version that the sender understands."""
 
+    version: int
+    kind: Kind
+    number: int
+    source: str
+    incarnation: int
+    stamp: Stamp | None = None
+    target: str | None = None
+    updates: tuple[Update, ...] = ()
+    root: int | None = None  # of the sender's table
+    vector: bytes = b""  # in COMPARE
+    leaves: bytes = b""  # in ENTRIES: those that are told whole
+    entries: tuple[Entry, ...] = ()
+    speaks: int = 1
 
-class Message(msgspec.Struct, array_like=True, frozen=True):
-    """``source`` is where the sender hears; an ACK or NACK has the ``number`` of what it answers."""
+
+class _First(msgspec.Struct, array_like=True, frozen=True):
+    """Version 1 as it is read."""
 
     version: int
     kind: Kind
@@ -77,10 +108,37 @@
     stamp: Stamp | None = None
     target: Place | None = None
     updates: Annotated[tuple[Update, ...], msgspec.Meta(max_length=UPDATES_MOST)] = ()
+    speaks: Speaks = 1
+
+
+class _Second(msgspec.Struct, array_like=True, frozen=True):
+    """Version 2 as it is read."""
+
+    version: int
+    kind: Kind
+    number: Annotated[int, msgspec.Meta(ge=0, lt=2**32)]
+    head: Annotated[bytes, msgspec.Meta(min_length=ENTRY_BYTES, max_length=ENTRY_BYTES)]
+    root: Annotated[int, msgspec.Meta(ge=0, lt=2**60)]
+    stamp: Stamp | None = None
+    target: Annotated[bytes, msgspec.Meta(min_length=PLACE_BYTES, max_length=PLACE_BYTES)] | None = None
+    body: bytes = b""
 
 
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(Message)
+_FIRST = msgspec.msgpack.Decoder(_First)
+_SECOND = msgspec.msgpack.Decoder(_Second)
+_RUMOUR = struct.Struct(f">{ENTRY_BYTES}sI")
+
+PLAIN_BYTES = 47  # a ping of version 2 that tells nothing
+FIRST_BYTES = 64  # ... of version 1, at most
+STAMP_BYTES = 41
+# array, version, kind, number, head, root, stamp, target, the body's own head
+HEAD_MOST = 1 + 1 + 1 + 5 + 14 + 9 + STAMP_BYTES + 8 + 3
+RUMOUR_BYTES = _RUMOUR.size
+RUMOURS_MOST = min(UPDATES_MOST, (MESSAGE_MOST - TAG - HEAD_MOST) // RUMOUR_BYTES)
+ENTRIES_ROOM = MESSAGE_MOST - TAG - HEAD_MOST - 1  # bytes for leaves and entries
+ENTRIES_MOST = ENTRIES_ROOM // ENTRY_BYTES
+COMPARE_BYTES = TAG + HEAD_MOST + VECTOR.size
 
 
 def checksum(place: str) -> int:
@@ -121,23 +179,115 @@
 
 def room(message: Message) -> int:
     """How many updates the message can still take."""
-    free = MESSAGE_MOST - TAG - len(_ENCODER.encode(message)) - 4
+    if message.version == SECOND:
+        return RUMOURS_MOST
+    free = MESSAGE_MOST - TAG - len(_first(message)) - 4
     return max(0, min(UPDATES_MOST, free // UPDATE_MOST))
 
 
+def size_of(message: Message) -> int:
+    """About the bytes of the datagram, at most some 30 too many, without encoding it."""
+    head = PLAIN_BYTES if message.version == SECOND else FIRST_BYTES
+    head += (STAMP_BYTES if message.stamp else 0) + (8 if message.target else 0)
+    if message.version != SECOND:
+        return head + UPDATE_MOST * len(message.updates)
+    return (head + RUMOUR_BYTES * len(message.updates) + len(message.vector) + len(message.leaves)
+            + ENTRY_BYTES * len(message.entries))
+
+
 def encode(key: bytes, message: Message) -> bytes:
-    return sealed(key, _ENCODER.encode(message))
+    """The datagram; raises ValueError for what version 2 has no bytes for."""
+    return sealed(key, _second(message) if message.version == SECOND else _first(message))
+
+
+def _first(m: Message) -> bytes:
+    updates = [(u.place, u.incarnation, u.state, u.by) for u in m.updates]
+    fields = [m.version, m.kind, m.number, m.source, m.incarnation, m.stamp, m.target, updates]
+    return _ENCODER.encode(fields if m.speaks == 1 else [*fields, m.speaks])
+
+
+def _second(m: Message) -> bytes:
+    head = entry_for(m.source, m.incarnation, State.ALIVE, SECOND).packed
+    target = None if m.target is None else packed_place(m.target)
+    match m.kind:
+        case Kind.COMPARE:
+            body = m.vector
+        case Kind.ENTRIES:
+            body = bytes([len(m.leaves)]) + m.leaves + b"".join([e.packed for e in m.entries])
+        case _:
+            body = b"".join([
+                _RUMOUR.pack(entry_for(u.place, u.incarnation, u.state, u.speaks).packed, u.by)
+                for u in m.updates
+            ])
+    fields: list[Any] = [m.version, m.kind, m.number, head, m.root or 0, m.stamp, target, body]
+    while not fields[-1] and len(fields) > 5:
+        fields.pop()
+    return _ENCODER.encode(fields)
 
 
 def decode(key: bytes, data: bytes) -> Message | None:
     """The message; None for what is too long, not sealed with the key, or makes no sense."""
+    found = _read(key, data)
+    return found if isinstance(found, Message) else None
+
+
+def fault(key: bytes, data: bytes) -> str | None:
+    """Why what was sealed with our key is no message; None for a stranger's, and where nothing is wrong."""
+    found = _read(key, data)
+    return found if isinstance(found, str) else None
+
+
+def _read(key: bytes, data: bytes) -> Message | str | None:
     if len(data) > MESSAGE_MOST:
         return None
     body = opened(key, data)
     if body is None:
         return None
     try:
-        message = _DECODER.decode(body)
-    except (msgspec.DecodeError, msgspec.ValidationError, RecursionError):
-        return None
-    return message if message.version == VERSION else None
+        if body[1:2] == b"\x02":
+            return _of_second(_SECOND.decode(body))
+        first = _FIRST.decode(body)
+    except (msgspec.DecodeError, msgspec.ValidationError, RecursionError, ValueError) as error:
+        return str(error)
+    if first.version != VERSION:
+        return f"version {first.version} is not known"
+    return Message(
+        VERSION, first.kind, first.number, first.source, first.incarnation, first.stamp, first.target,
+        first.updates, speaks=first.speaks,
+    )
+
+
+def _of_second(m: _Second) -> Message:
+    """Raises ValueError for what makes no sense."""
+    head = entry_of(m.head)
+    if m.version != SECOND or head.speaks != SECOND or head.state is not State.ALIVE:
+        raise ValueError("its sender does not speak version 2, or is gone")
+    updates: tuple[Update, ...] = ()
+    entries: tuple[Entry, ...] = ()
+    vector = leaves = b""
+    match m.kind:
+        case Kind.COMPARE:
+            vector = m.body
+            if len(vector) != VECTOR.size:
+                raise ValueError(f"a vector of {len(vector)} bytes")
+        case Kind.ENTRIES:
+            count = m.body[0] if m.body else 0
+            leaves, rest = m.body[1 : 1 + count], m.body[1 + count :]
+            if not m.body or len(leaves) != count or len(rest) % ENTRY_BYTES:
+                raise ValueError(f"entries that are torn: {len(m.body)} bytes, {count} leaves")
+            entries = tuple(
+                [entry_of(rest[n : n + ENTRY_BYTES]) for n in range(0, len(rest), ENTRY_BYTES)]
+            )
+        case _:
+            if len(m.body) % RUMOUR_BYTES or len(m.body) > UPDATES_MOST * RUMOUR_BYTES:
+                raise ValueError(f"rumours of {len(m.body)} bytes")
+            updates = tuple([_rumour(packed, by) for packed, by in _RUMOUR.iter_unpack(m.body)])
+    return Message(
+        SECOND, m.kind, m.number, head.place, head.incarnation, m.stamp,
+        None if m.target is None else place_of(m.target), updates, m.root, vector, leaves, entries, SECOND,
+    )
+
+
+def _rumour(packed: bytes, by: int) -> Update:
+    told = entry_of(packed)
+    return Update(told.place, told.incarnation, told.state, by, told.speaks)
