Members are told by pages with counts and root, faults and many changes in few lines

Need: 5,000 members in one answer or in one wake's log stop the loop, and who sends sealed nonsense was counted as a stranger. /members/NUMBER/LEAF/MOST answers one page; without a leaf up to 1,024 are whole as before. Counts by state are kept in the table in O(1). A wake reads 32 datagrams; over 16 changes in it are one line, members changed; sealed nonsense and what members do not believe get a line each reason and minute, 16 a minute in all. The rig counts whom nodes know by asking: the log no longer names each.

--- a/measure/rig.py
+++ b/measure/rig.py
@@ -244,9 +244,8 @@
         return bool(found) and found[-1]["version"] == rev and found[-1]["entries"] > 0
 
     def known(self) -> float:
-        """How many members each has heard of since its start, on average."""
-        heard = [{e["place"] for e in node.events("member")} for node in self.nodes]
-        return sum(map(len, heard)) / len(heard)
+        """How many others each knows, on average; none where it does not answer."""
+        return sum(len(self.states(n)) for n in range(len(self.nodes))) / len(self.nodes)
 
     def stop(self) -> None:
         """End every process that was begun, at once and by its id."""
--- a/rushsaddle/fleet/service.py
+++ b/rushsaddle/fleet/service.py
@@ -9,6 +9,7 @@
 
 import select
 import socket
+from collections import Counter
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from random import Random
@@ -25,10 +26,13 @@
 from ..net.listener import bound
 from .lasting import Keeper, KeptList
 from .members import Members, Out, Rules
+from .rationed import Rationed
 from .shelf import Shelf
-from .wire import MESSAGE_MOST, Message, Stamp, decode, encode, opened, packed, sealed, tag, unpacked
+from .view import ALL, Asked, asked, page, plain
+from .wire import MESSAGE_MOST, Message, Stamp, decode, encode, fault, opened, packed, sealed, tag, unpacked
 
-READ_MOST = 64  # datagrams in one wake: a flood must not hold up the loop
+READ_MOST = 32  # datagrams in one wake: a flood must not hold up the loop
+LINES_MOST = 16  # changes in one wake that get a line each; more are one line with counts
 SERVES_MOST = 16  # lists handed out at once; others find another member
 SERVE_US = 1_000_000  # a list is fetched, or handed out, within this
 AVOID_US = 1_000_000  # who gave nothing good is not asked again for so long: it must not keep us busy
@@ -78,10 +82,6 @@
         raise BadList(str(error)) from None
 
 
-def _plain(stamp: Stamp | None) -> tuple[Any, ...] | None:
-    return None if stamp is None else msgspec.structs.astuple(stamp)
-
-
 class Fleet:
     """``take`` is given a list that is newer than ours and the place that it came from; it raises where the
     list makes no sense, and then nothing is changed."""
@@ -109,6 +109,7 @@
         self._pulling = False
         self._avoid: dict[str, int] = {}  # until when, by place
         self._serving = 0
+        self._rationed = Rationed()
 
     def start(self) -> None:
         self.loop.spawn(self._run())
@@ -167,16 +168,16 @@
         due = members.due_us
         for _ in range(READ_MOST):
             try:
-                data, _ = sock.recvfrom(MESSAGE_MOST + 1)
+                data, (host, port) = sock.recvfrom(MESSAGE_MOST + 1)
             except BlockingIOError:
                 break
             except OSError:  # an earlier datagram's refusal is told on the next call
                 continue
             message = decode(self.where.key, data)
+            now = self.loop.now_us()
             if message is None:
-                self.strangers += 1
+                self._refused(now, data, f"{host}:{port}")
                 continue
-            now = self.loop.now_us()
             members.stamp = self.shelf.stamp
             self._send(members.hear(now, message))
             self._look(now, message)
@@ -184,6 +185,14 @@
         if members.due_us < due and self._beat_task is not None:
             self.loop.wake(self._beat_task)
 
+    def _refused(self, now: int, data: bytes, source: str) -> None:
+        """Strangers are counted; what has the key and makes no sense is a member that is told of."""
+        why = fault(self.where.key, data)
+        if why is None:
+            self.strangers += 1
+        elif (more := self._rationed.due(now, why)) is not None:
+            self.log.event("message not taken", source=source, why=why, more=more)
+
     def _send(self, out: list[Out]) -> None:
         """What the socket does not take at once is lost, as on the way."""
         for place, message in out:
@@ -195,10 +204,21 @@
                 continue
 
     def _tell(self, members: Members) -> None:
-        for change in members.changes:
-            before = None if change.before is None else change.before.name.lower()
-            self.log.event("member", place=change.place, before=before, now=change.now.name.lower())
-        members.changes.clear()
+        """The changes, in bounded lines whatever comes: a cold start of thousands is told by counts."""
+        changes = members.changes
+        if len(changes) > LINES_MOST:
+            counts = Counter(change.now.name.lower() for change in changes)
+            self.log.event("members changed", **counts)
+        else:
+            for change in changes:
+                before = None if change.before is None else change.before.name.lower()
+                self.log.event("member", place=change.place, before=before, now=change.now.name.lower())
+        changes.clear()
+        now = self.loop.now_us()
+        for why in members.faults:
+            if (more := self._rationed.due(now, why)) is not None:
+                self.log.event("member fault", why=why, more=more)
+        members.faults.clear()
 
     def _keep(self, keeper: Keeper, now: int) -> None:
         """A list that has changed goes to the disk, and one that has not is known to be good for longer."""
@@ -307,25 +327,24 @@
         what, _, number = target.decode("latin-1").removeprefix("/").partition("/")
         stamp = self.shelf.stamp
         if what == "members":
-            return 200, sealed(self.where.key, orjson.dumps(self.told()))
+            wanted = asked(number.split("/")[1:])
+            if wanted is None:
+                return 404, b""
+            return 200, sealed(self.where.key, orjson.dumps(self.told(wanted, target.decode("latin-1"))))
         if what != "list" or not (number.isascii() and number.isdigit() and len(number) < 20):
             return 404, b""
         if stamp is None:
             return 409, b""
         return 200, pack(self.where.key, int(number), stamp, self.shelf.whole())
 
-    def told(self) -> dict[str, Any]:
-        """Members as this one knows them, for people and programs."""
+    def told(self, wanted: Asked = ALL, target: str | None = None) -> dict[str, Any]:
+        """Members as this one knows them, a page of them, for people and programs."""
         members = self.members
         if members is None:
-            return {"me": None, "members": []}
+            return {"me": None, "target": target, "members": []}
         return {
             "me": members.me, "incarnation": members.incarnation, "health": members.health,
-            "list": _plain(self.shelf.stamp),
-            "direct": self.shelf.direct, "fetched": self.pulls, "failed": self.pulls_failed,
-            "strangers": self.strangers, "members": [
-                {"place": m.place, "state": m.state.name.lower(), "incarnation": m.incarnation,
-                 "list": _plain(members.stamps.get(m.place))}
-                for m in sorted(members.others.values(), key=lambda m: m.place)
-            ],
+            "list": plain(self.shelf.stamp), "direct": self.shelf.direct, "fetched": self.pulls,
+            "failed": self.pulls_failed, "strangers": self.strangers, "target": target,
+            **page(members, wanted),
         }
--- a/rushsaddle/fleet/table.py
+++ b/rushsaddle/fleet/table.py
@@ -198,6 +198,7 @@
         self.up = Order()
         self.gone = Order()
         self._size = 0
+        self._counts = [0] * len(State)  # by state, with this one
         self.put(me)
 
     def __getitem__(self, place: str) -> Entry:
@@ -218,6 +219,11 @@
         """Members that are up, with this one."""
         return 1 + len(self.up)
 
+    def counts(self) -> dict[str, int]:
+        """How many others are in each state."""
+        mine = self[self.me].state
+        return {state.name.lower(): self._counts[state] - (state is mine) for state in State}
+
     def same(self, other: Entry) -> Entry | None:
         """What we hold of the one that an entry is about."""
         return self.leaves[other.leaf].get(other.place)
@@ -230,6 +236,9 @@
         old = leaf.get(new.place)
         leaf[new.place] = new
         self._size += old is None
+        self._counts[new.state] += 1
+        if old is not None:
+            self._counts[old.state] -= 1
         was = old is not None and old.up
         if old is not None and was:
             self._mark(old)
@@ -244,6 +253,7 @@
     def forget(self, old: Entry) -> None:
         del self.leaves[old.leaf][old.place]
         self._size -= 1
+        self._counts[old.state] -= 1
         if old.up:
             self._mark(old)
         (self.up if old.up else self.gone).drop(old.place)
