--- a/rushsaddle/operator/records.py
+++ b/rushsaddle/operator/records.py
@@ -41,7 +41,8 @@
     key_file: str = ""  # its bytes are the fleet's key: 16 at least, the same at every member
     period: Duration = "250ms"  # between pings of one member
     suspect: Duration = "3200ms"  # the least time that a silent member has to refute
-    most: Annotated[int, msgspec.Meta(ge=2, le=10_000)] = 2_000  # members known at once
+    most: Annotated[int, msgspec.Meta(ge=2, le=100_000)] = 10_000  # members known at once, gone ones too
+    bytes: Annotated[int, msgspec.Meta(ge=1_000, le=10_000_000)] = 6_000  # a second, in bad moments
     patience: Duration = "30s"  # a node without a list takes callers after so long all the same
     copy: str = ""  # a folder that lasts, for the last list; each node its own
     copy_longest: Duration = "24h"  # an older copy is not used
--- a/rushsaddle/parts.py
+++ b/rushsaddle/parts.py
@@ -120,7 +120,9 @@
         raise OperatorError(faults)
     host, port = node.discovery.address
     shelf = node.discovery.follower = Shelf(f"{host}:{port}")
-    rules = MemberRules(duration_us(section.period), duration_us(section.suspect), most=section.most)
+    rules = MemberRules(
+        duration_us(section.period), duration_us(section.suspect), most=section.most, bytes_s=section.bytes
+    )
 
     def check(fields: Any) -> None:
         node.told.names.entries(fields["targets"])
