Process tests: deaths in a cut, a lying digest, invented members, nonsense, version 1, pages

Need: the mechanism's faults between real processes, audited by asking members and by sockets of the test's own. The old version's schema stands in the test. 'Stays dead' is: dead once in each log, and last; a suspicion that was refuted before the kill is no resurrection.

--- a/tests/members/test_processes.py
+++ b/tests/members/test_processes.py
@@ -1,16 +1,27 @@
-"""Several nodes as processes, with faults between them: killed, paused, cut off, lied to, on two services."""
+"""Several nodes as processes, with faults between them: killed, paused, cut off, lied to, flooded, spoken to
+in the older version, on two services."""
 
 from __future__ import annotations
 
+import hmac
 import socket
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Iterable
+from enum import IntEnum
+from typing import Annotated, Any
 
 import h11
+import msgspec
+import orjson
 import pytest
+from click.testing import CliRunner
 
 from measure.rig import NOBODY, PATIENCE, Fleet, until
+from rushsaddle.cli_fleet import fleet as command
+from rushsaddle.cli_fleet import members_of
 from rushsaddle.fleet.service import pack
-from rushsaddle.fleet.wire import VERSION, Kind, Message, Stamp, encode
+from rushsaddle.fleet.table import entry
+from rushsaddle.fleet.wire import VERSION, Kind, Message, Stamp, State, decode, encode, sealed
 
 LIST = {"rev": 7, "all": True, "targets": [
     {"uid": f"s-{n}", "endpoint": f"127.0.0.1:{20 + n}", "az": "north", "model": "box", "pod_group": 0,
@@ -186,6 +197,9 @@
     ({"COPY": "/nowhere"}, "fleet.copy: /nowhere: not a folder that can be written to"),
     ({"PERIOD": "0s"}, "fleet.period: '0s' is not between"),
     ({"MOST": "1"}, "fleet.most: "),
+    ({"MOST": "100001"}, "fleet.most: "),
+    ({"BYTES": "999"}, "fleet.bytes: "),
+    ({"BYTES": "many"}, "fleet.bytes: "),
     ({"SEED": "x"}, "fleet.seed: no such key; did you mean seeds?"),
 ])
 def test_settings_that_make_no_sense_end_the_start(
@@ -196,3 +210,281 @@
     node.begin()
     assert node.process.wait(PATIENCE) == 2
     assert fault in node.log.read_text() and len(node.log.read_text().splitlines()) == 1
+
+
+def quick(group: Fleet, count: int, link: bool = False, **keys: str) -> None:
+    """Nodes with short periods and these settings, that know each other."""
+    for node in group.start(count, link=link, begin=False):
+        for key, value in {"PERIOD": "150ms", **keys}.items():
+            node.operator[f"RUSHSADDLE_FLEET__{key}"] = value
+        node.begin()
+    until("all know all", group.all_know_all)
+
+
+class Played:
+    """A member that a test plays: its socket, and what came to it so far is given to ``turn``'s answer."""
+
+    def __init__(self) -> None:
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock.bind(("127.0.0.1", 0))
+        self.sock.setblocking(False)
+        self.me = f"127.0.0.1:{self.sock.getsockname()[1]}"
+        self.incarnation = 1
+
+    def refute(self, updates: Iterable[Any]) -> None:
+        """What a member does that hears that it is suspected: the test may have been slow to answer."""
+        for update in updates:
+            if update.place == self.me and update.state and update.incarnation >= self.incarnation:
+                self.incarnation = update.incarnation + 1
+
+    def __enter__(self) -> Played:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.sock.close()
+
+    def send(self, place: str, data: bytes) -> None:
+        host, _, port = place.partition(":")
+        self.sock.sendto(data, (host, int(port)))
+
+    def turn(self, answer: Callable[[bytes], Iterable[tuple[str, bytes]]]) -> None:
+        for _ in range(1000):
+            try:
+                data = self.sock.recv(65536)
+            except BlockingIOError:
+                return
+            for place, reply in answer(data):
+                self.send(place, reply)
+
+
+def logged(group: Fleet, n: int, event: str, **fields: Any) -> list[dict[str, Any]]:
+    return [e for e in group.nodes[n].events(event) if fields.items() <= e.items()]
+
+
+def test_one_is_killed_on_each_side_of_a_cut_and_both_stay_dead_after_the_heal(group: Fleet) -> None:
+    quick(group, 5, link=True, SUSPECT="1s")
+    assert group.link is not None
+    sides, killed, alive = ((0, 1, 2), (3, 4)), (2, 4), (0, 1, 3)
+    for a in sides[0]:
+        for b in sides[1]:
+            group.link.cut(a, b)
+            group.link.cut(b, a)
+    for n in killed:
+        group.nodes[n].kill()
+    until("each half is by itself", lambda: all(
+        Counter(group.states(n).values()) == {"dead": 4 - near, **({"alive": near} if near else {})}
+        for n, near in ((0, 1), (1, 1), (3, 0))
+    ))
+    group.link.heal()
+    wanted = {group.places[n]: "dead" if n in killed else "alive" for n in range(5)}
+
+    def whole() -> bool:
+        found = [group.told(n) for n in alive]
+        states = [{m["place"]: m["state"] for m in told["members"]} | {told["me"]: "alive"} for told in found]
+        return states == [wanted] * 3 and len({told["root"] for told in found}) == 1
+
+    until("all know all, and who is dead", whole)
+    for n in alive:
+        for gone in killed:
+            changes = [e["now"] for e in logged(group, n, "member", place=group.places[gone])]
+            assert changes[-1] == "dead" and changes.count("dead") == 1
+    assert whole()
+
+
+def test_a_member_that_lies_about_its_digest_is_told_of_once_and_changes_nothing(group: Fleet) -> None:
+    """It differs at each answer, and when it is asked where, it has nothing to say."""
+    quick(group, 3)
+    compared: Counter[str] = Counter()
+    with Played() as liar:
+
+        def said(kind: Kind, number: int, **more: Any) -> bytes:
+            return encode(group.key, Message(
+                2, kind, number, liar.me, liar.incarnation, root=12345, speaks=2, **more
+            ))
+
+        def answer(data: bytes) -> Iterable[tuple[str, bytes]]:
+            message = decode(group.key, data)
+            assert message is not None
+            liar.refute(message.updates)
+            if message.kind is Kind.COMPARE:
+                compared[message.source] += 1
+                yield message.source, said(Kind.ENTRIES, message.number)
+            elif message.kind is Kind.PING:
+                yield message.source, said(Kind.ACK, message.number)
+
+        def told_of() -> bool:
+            liar.turn(answer)
+            return any(logged(group, n, "member fault") for n in range(3))
+
+        for place in group.places:
+            liar.send(place, said(Kind.PING, 1))
+        until("somebody tells of it", told_of)
+        liar.turn(answer)
+        for n in range(3):
+            states = group.states(n)
+            assert states == {p: "alive" for p in (*group.places, liar.me) if p != group.places[n]}
+            faults = logged(group, n, "member fault")
+            assert len(faults) <= 1 and all(liar.me in e["why"] for e in faults)
+            assert not logged(group, n, "member", now="dead")
+    assert 2 <= sum(compared.values()) <= 12
+    assert len({group.told(n)["root"] for n in range(3)}) == 1
+
+
+def test_thousands_of_invented_members_are_bounded_and_the_real_ones_stay(group: Fleet) -> None:
+    most = 200
+    quick(group, 3, MOST=str(most))
+    invented = [entry(f"127.200.{n // 250}.{n % 250 + 1}:7400", 1, State.ALIVE, 2) for n in range(4000)]
+    with Played() as liar:
+
+        def flooded() -> bool:
+            """All of it in each round: a datagram may be lost."""
+            for n in range(0, len(invented), 80):
+                part = tuple(invented[n : n + 80])
+                message = Message(2, Kind.ENTRIES, 1, liar.me, 1, root=1, entries=part, speaks=2)
+                liar.send(group.own[0], encode(group.key, message))
+            return bool(logged(group, 0, "member fault"))
+
+        until("its table is full, and that is told", flooded)
+    for n in range(3):
+        told = group.told(n)
+        states = {m["place"]: m["state"] for m in told["members"]}
+        assert len(states) <= most and sum(told["counts"].values()) == len(states)
+        assert all(states[p] in ("alive", "suspect") for p in group.places if p != group.places[n])
+        faults = [e["why"] for e in logged(group, n, "member fault")]
+        assert len(set(faults)) == len(faults) <= 4
+        for place in group.places:
+            assert not logged(group, n, "member", place=place, now="dead")
+
+
+def test_what_has_the_key_and_makes_no_sense_is_told_of_once_and_changes_nothing(group: Fleet) -> None:
+    group.start(2)
+    until("all know all", group.all_know_all)
+    bad = [msgspec.msgpack.encode(message) for message in (
+        [9, 0, 1, "10.0.0.1:1", 1], [2, 0, 1, b"short", 0], "text", [1],
+    )]
+    before = group.told(0)["strangers"]
+    with Played() as broken:
+
+        def heard() -> bool:
+            for data in bad:
+                for _ in range(50):
+                    broken.send(group.own[0], sealed(group.key, data))
+            return len(logged(group, 0, "message not taken")) >= len(bad)
+
+        until("each reason is told", heard)
+        lines = logged(group, 0, "message not taken")
+        assert len({e["why"] for e in lines}) == len(lines) == len(bad)
+        assert {e["source"] for e in lines} == {broken.me}
+    assert group.told(0)["strangers"] == before
+    assert group.states(0) == {group.places[1]: "alive"}
+
+
+OldPlace = Annotated[
+    str, msgspec.Meta(pattern=r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$", max_length=21)
+]
+OldNumber = Annotated[int, msgspec.Meta(ge=0, lt=2**62)]
+
+
+class OldKind(IntEnum):
+    PING = 0
+    ACK = 1
+    ASK = 2
+    NACK = 3
+    JOIN = 4
+    WELCOME = 5
+
+
+class OldState(IntEnum):
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+    LEFT = 3
+
+
+class OldStamp(msgspec.Struct, array_like=True, frozen=True):
+    service: OldPlace
+    era: OldNumber
+    rev: OldNumber
+
+
+class OldUpdate(msgspec.Struct, array_like=True, frozen=True):
+    place: OldPlace
+    incarnation: OldNumber
+    state: OldState
+    by: Annotated[int, msgspec.Meta(ge=0, lt=2**32)] = 0
+
+
+class OldMessage(msgspec.Struct, array_like=True, frozen=True):
+    """Version 1 as it stood before there was another."""
+
+    version: int
+    kind: OldKind
+    number: OldNumber
+    source: OldPlace
+    incarnation: OldNumber
+    stamp: OldStamp | None = None
+    target: OldPlace | None = None
+    updates: Annotated[tuple[OldUpdate, ...], msgspec.Meta(max_length=64)] = ()
+
+
+def old_encoded(key: bytes, message: OldMessage) -> bytes:
+    body = msgspec.msgpack.encode(message)
+    return body + hmac.digest(key, body, "sha256")[:16]
+
+
+def old_decoded(key: bytes, data: bytes) -> OldMessage:
+    body = data[:-16]
+    assert len(data) <= 1200 and hmac.compare_digest(data[-16:], hmac.digest(key, body, "sha256")[:16])
+    return msgspec.msgpack.decode(body, type=OldMessage)
+
+
+def test_a_member_that_knows_version_1_only_joins_and_is_not_taken_for_dead(group: Fleet) -> None:
+    quick(group, 3)
+    known: set[str] = set()
+    pinged: Counter[str] = Counter()
+    with Played() as old:
+
+        def answer(data: bytes) -> Iterable[tuple[str, bytes]]:
+            message = old_decoded(group.key, data)
+            assert message.version == 1
+            old.refute(message.updates)
+            known.update(u.place for u in message.updates if u.state is OldState.ALIVE)
+            known.add(message.source)
+            if message.kind is OldKind.PING:
+                pinged[message.source] += 1
+                reply = OldMessage(1, OldKind.ACK, message.number, old.me, old.incarnation)
+                yield message.source, old_encoded(group.key, reply)
+
+        def all_know_it() -> bool:
+            if not known:
+                old.send(group.places[0], old_encoded(group.key, OldMessage(1, OldKind.JOIN, 0, old.me, 1)))
+            old.turn(answer)
+            return all(group.states(n).get(old.me) == "alive" for n in range(3)) and known >= {*group.places}
+
+        def pinged_often() -> bool:
+            old.turn(answer)
+            return all(pinged[place] >= 4 for place in group.places)
+
+        until("it knows all, and all know it", all_know_it)
+        until("each has pinged it some times", pinged_often)
+        for n in range(3):
+            told = {m["place"]: m for m in group.told(n)["members"]}
+            assert told[old.me]["speaks"] == 1
+            assert {told[p]["speaks"] for p in group.places if p != group.places[n]} == {2}
+            assert not logged(group, n, "member", place=old.me, now="dead")
+            assert not logged(group, n, "message not taken")
+
+
+def test_the_command_reads_more_than_one_page_and_its_json_is_whole(group: Fleet) -> None:
+    group.start(4)
+    until("all know all", group.all_know_all)
+    key_file = group.folder / "fleet.key"
+    base = ["members", "--member", group.own[1], "--key-file", str(key_file)]
+    found = CliRunner().invoke(command, [*base, "--json", "--page", "1"])
+    told = orjson.loads(found.stdout)
+    assert found.exit_code == 0 and int(told["target"].split("/")[3]) > 0  # a later page's
+    assert [m["place"] for m in told["members"]] == sorted({*group.places} - {group.places[1]})
+    assert told["members"] == members_of(group.own[1], group.key)["members"]
+    assert sum(told["counts"].values()) == told["counts"]["alive"] == 3 and told["next"] is None
+    lines = CliRunner().invoke(command, [*base, "--page", "1"]).stdout.splitlines()
+    assert lines[0] == "others: 3 alive" and len(lines) == 5
