--- /dev/null
+++ b/measure/wakes.py
@@ -0,0 +1,164 @@
+"""How long one turn of the members' service holds up the loop: an answer to a call, a wake of the worst kind.
+
+    python -m measure.wakes [--sizes 312 1250 5000 10000] [--rounds 50] [--json FILE]
+
+The service's own code, with its codec, over a table of so many others.  A wake is ``READ_MOST`` datagrams
+of one kind, read from a real socket of loopback, with all that they bring about: decoded, heard, answered,
+told in the log.  Milliseconds of wall time on this thread: the median and the worst over the rounds, with
+garbage collected as in a node.
+"""
+
+from __future__ import annotations
+
+import argparse
+import gc
+import json
+import os
+import socket
+import statistics
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+
+import h11
+
+from rushsaddle.core.log import Log
+from rushsaddle.core.loop import Clock, Loop
+from rushsaddle.fleet.members import Members, Rules
+from rushsaddle.fleet.service import READ_MOST, Fleet, Where
+from rushsaddle.fleet.shelf import Shelf
+from rushsaddle.fleet.table import VECTOR, Entry, entry
+from rushsaddle.fleet.wire import ENTRIES_MOST, Kind, Message, State, Update, encode, sealed, tag
+from rushsaddle.node import GC
+
+from .table import show
+
+KEY = b"a key that is only for this"
+SOURCE = "127.0.0.1:9"  # nobody hears there
+ME = "127.0.0.1:10"
+
+
+def place(n: int) -> str:
+    return f"10.{n // 62500}.{n // 250 % 250}.{n % 250 + 1}:7400"
+
+
+class Played:
+    """A service without its loop: its table, a socket to read from, and a log that nobody reads."""
+
+    def __init__(self, count: int, log: int, clock: Clock | None = None) -> None:
+        loop = Loop(clock or Clock(), lambda error: None)
+        where = Where(("127.0.0.1", 0), None, (), KEY, Rules())
+        self.fleet = Fleet(loop, Log("n", loop.now_us, log), where, Shelf(SOURCE), lambda _: None,
+                           lambda *_: None, Random(1), 0)
+        self.far = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.near = socket.socket(socket.AF_INET, socket.SOCK_DGRAM | socket.SOCK_NONBLOCK)
+        self.near.bind(("127.0.0.1", 0))
+        self.near.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2**20)
+        now = loop.now_us()
+        self.members = self.fleet.members = Members(ME, now // 1000, (), where.rules, Random(2), now)
+        for n in range(count):
+            self.members.table.put(entry(place(n), 1, State.ALIVE, 2))
+        self.members.table.put(entry(SOURCE, 1, State.ALIVE, 2))
+        self.fleet._sock = self.far  # what is answered goes out on it
+
+    def wake(self, data: list[bytes]) -> float:
+        """Milliseconds."""
+        for one in data:
+            self.far.sendto(one, self.near.getsockname())
+        began = time.perf_counter()
+        self.fleet._read(self.near, self.members)
+        return (time.perf_counter() - began) * 1000
+
+    def answer(self, leaf: str) -> float:
+        target = f"/members/1{leaf}"
+        head = [("Host", "member"), ("X-Seal", tag(KEY, target.encode()).hex())]
+        request = h11.Request(method="GET", target=target, headers=head)
+        began = time.perf_counter()
+        status, _ = self.fleet._answer(request)
+        took = (time.perf_counter() - began) * 1000
+        assert status == 200
+        return took
+
+    def close(self) -> None:
+        self.far.close()
+        self.near.close()
+
+
+def said(kind: Kind, number: int, updates: tuple[Update, ...] = (), vector: bytes = b"", leaves: bytes = b"",
+         entries: tuple[Entry, ...] = ()) -> bytes:
+    return encode(KEY, Message(
+        2, kind, number, SOURCE, 1, updates=updates, root=7, vector=vector, leaves=leaves, entries=entries,
+        speaks=2,
+    ))
+
+
+def wakes(count: int) -> dict[str, Callable[[], list[bytes]]]:
+    """One wake's datagrams by what they are.  Entries are new or dead in each round's first wake only."""
+    lie = VECTOR.pack(*range(256))
+    half = [entry(place(n), 1, State.ALIVE, 2) for n in range(min(count, ENTRIES_MOST - 22))]
+    new = [place(count + n) for n in range(READ_MOST * ENTRIES_MOST)]
+    dead = tuple(Update(place(n), 1, State.SUSPECT, 5) for n in range(count))
+
+    def invented() -> list[bytes]:
+        entries = [entry(p, 1, State.ALIVE, 2) for p in new]
+        each = ENTRIES_MOST
+        parts = [tuple(entries[n : n + each]) for n in range(0, len(entries), each)]
+        return [said(Kind.ENTRIES, 1, entries=part) for part in parts]
+
+    return {
+        "pings": lambda: [said(Kind.PING, n) for n in range(READ_MOST)],
+        "vectors": lambda: [said(Kind.COMPARE, n, vector=lie) for n in range(READ_MOST)],
+        "entries known, leaves whole": lambda: [
+            said(Kind.ENTRIES, n, leaves=bytes(range(200)), entries=tuple(half)) for n in range(READ_MOST)],
+        "entries invented": invented,
+        "suspicions": lambda: [said(Kind.PING, n, dead[60 * n : 60 * n + 60]) for n in range(READ_MOST)],
+        "joins": lambda: [said(Kind.JOIN, n) for n in range(READ_MOST)],
+        "nonsense with the key": lambda: [
+            sealed(KEY, b"\x95\x02" + os.urandom(1000)) for _ in range(READ_MOST)],
+    }
+
+
+def one(count: int, rounds: int, log: int) -> dict[str, float]:
+    row: dict[str, float] = {"others": count}
+
+    def keep(name: str, times: list[float]) -> None:
+        row[f"{name}, median, ms"], row[f"{name}, worst, ms"] = statistics.median(times), max(times)
+
+    played = Played(count, log)
+    keep("answer, first page", [played.answer("") for _ in range(rounds)])
+    keep("answer, a later page", [played.answer("/128") for _ in range(rounds)])
+    played.close()
+    for name, made in wakes(count).items():
+        data, times = made(), []
+        for _ in range(rounds):
+            played = Played(count, log)
+            times.append(played.wake(data))
+            played.close()
+        keep(f"wake of {READ_MOST}: {name}", times)
+    return row
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
+    parser.add_argument("--sizes", type=int, nargs="+", default=[312, 1250, 5000, 10000])
+    parser.add_argument("--rounds", type=int, default=50)
+    parser.add_argument("--json")
+    told = parser.parse_args()
+    gc.freeze()
+    gc.set_threshold(*GC)
+    rows = []
+    with open(os.devnull, "wb") as log:
+        for count in told.sizes:
+            rows.append(one(count, told.rounds, log.fileno()))
+            print(json.dumps(rows[-1]), file=sys.stderr, flush=True)
+    for row in rows:
+        show([row], None)
+    if told.json:
+        Path(told.json).write_text(json.dumps(rows) + "\n")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/rushsaddle/fleet/service.py
+++ b/rushsaddle/fleet/service.py
@@ -32,6 +32,7 @@
 from .wire import MESSAGE_MOST, Message, Stamp, decode, encode, fault, opened, packed, sealed, tag, unpacked
 
 READ_MOST = 32  # datagrams in one wake: a flood must not hold up the loop
+READ_US = 4_000  # ... and after so long the rest waits for the next wake: full ones bring the most work
 LINES_MOST = 16  # changes in one wake that get a line each; more are one line with counts
 SERVES_MOST = 16  # lists handed out at once; others find another member
 SERVE_US = 1_000_000  # a list is fetched, or handed out, within this
@@ -166,7 +167,10 @@
 
     def _read(self, sock: socket.socket, members: Members) -> None:
         due = members.due_us
+        until = self.loop.now_us() + READ_US
         for _ in range(READ_MOST):
+            if self.loop.now_us() >= until:
+                break
             try:
                 data, (host, port) = sock.recvfrom(MESSAGE_MOST + 1)
             except BlockingIOError:
