Members join and heal sooner: rumours take more in small fleets, told deaths are asked after

Change: settled only after four equal roots in a row, 32 joins a message under 200 members; what a table tells of the dead is one accusation, not told on, and the accused is pinged; a ping of version 2 takes 45 bytes; joins are no longer told once eight roots in a row were equal.

--- a/rushsaddle/fleet/members.py
+++ b/rushsaddle/fleet/members.py
@@ -52,6 +52,7 @@
 WELCOMED = 16  # members named to one that joins
 JOIN_MOST = 16  # periods between two tries to join
 RELAYS = 64
+OLD_US = 60_000_000  # who speaks version 1 alone was heard within this: it depends on rumours
 RECALL = 8  # periods between calls to a seed or a dead one that is not answered: how a cut heals
 LOST_SHARE = 4  # times the share of the lost is the chance of such a call
 
@@ -93,6 +94,7 @@
         self.budget = Budget(rules.bytes_s, rules.burst, now)
         self._period_us = now  # the next probe begins
         self._periods = 0
+        self._old_us = now - OLD_US - 1
         self._tries = 0  # to join
         self._try_at = 1  # the period of the next one
         self._to_try: list[str] = []
@@ -214,6 +216,8 @@
         if message.source == self.me or self.left or message.version > self.speaks:
             return []
         self._begin(now)
+        if message.speaks < SECOND:
+            self._old_us = now
         if message.version == VERSION and not canonical(message.source):
             self.fault(now, "no address", message.source)
             return []
@@ -261,7 +265,7 @@
             case Kind.WELCOME:
                 self.welcomed = True
                 told = (self.entry(update, now) for update in message.updates)
-                return self._verify(self.merge([one for one in told if one is not None], source, now)[0])
+                return self._verify(self.merge([one for one in told if one is not None], now)[0])
             case Kind.COMPARE:
                 return self._answer(message)
             case Kind.ENTRIES:
@@ -340,7 +344,7 @@
         if to is not None and to.state is not State.ALIVE:
             found.append(self._update(to, version))
         free = self.budget.left // (RUMOUR_BYTES if version == SECOND else UPDATE_MOST)
-        for name in self.news.pick(min(most, max(1, free)) - len(found), self.often):
+        for name in self.news.pick(min(most, max(1, free)) - len(found), self.often, self.size):
             found.append(self._update(self.table[name], version))
         return tuple(found)
 
@@ -354,8 +358,11 @@
         """It has told its root: the tables are equal, or it is asked."""
         source = self.table.get(message.source)
         if message.root == self.table.root:
-            self.compares.agreed(message.source)
-        elif message.kind in (Kind.ACK, Kind.WELCOME) and source is not None and source.up:
+            if self.compares.agreed(message.source) and now - self._old_us > OLD_US:
+                self.news.spread()
+            return []
+        self.compares.differs()
+        if message.kind in (Kind.ACK, Kind.WELCOME) and source is not None and source.up:
             if self._version(source.place) == SECOND and self.budget.left >= COMPARE_BYTES:
                 if self.compares.wanted(now, source.place):
                     asked = self._bare(Kind.COMPARE, SECOND)
@@ -377,7 +384,7 @@
         if message.root is None:
             return []
         told, source = message.entries[:ENTRIES_MOST], message.source
-        places, changed = self.merge(told, source, now, VERIFY if self.budget.left else 0)
+        places, changed = self.merge(told, now, VERIFY if self.budget.left else 0)
         out = self._verify(places)
         newer = back(self.table, message.leaves, told) if message.leaves else ()
         self.compares.seen(now, self.table.root)
--- a/rushsaddle/fleet/news.py
+++ b/rushsaddle/fleet/news.py
@@ -1,8 +1,8 @@
 """What is told next: who has news, and how often it was told.  Pure.
 
 Bad news and refutations first, as many as a message takes; then at most ``JOINS`` of those who joined or
-live again, of which ``JOINS_MOST`` are kept: reconciling brings the others.  Within each kind the least told
-first.
+live again, ``JOINS_SMALL`` in a small fleet, of which ``JOINS_MOST`` are kept: reconciling brings the others.
+Within each kind the least told first.
 
 Bounds: a pick of k costs O(k + levels), where a news has at most ``often`` levels, 4 * ceil(log10(N + 2)) for
 N members (SWIM, section 4.1); nothing is sorted.
@@ -13,6 +13,8 @@
 from collections import OrderedDict
 
 JOINS = 8  # in one message
+JOINS_SMALL = 32  # ... of a fleet of less than
+SMALL = 200  # members, where rumours alone bring all soon
 JOINS_MOST = 512
 
 
@@ -86,11 +88,15 @@
         self._urgent.drop(place)
         self._joins.drop(place)
 
-    def pick(self, most: int, often: int) -> list[str]:
-        """What a message with room for ``most`` tells; it counts as told."""
+    def spread(self) -> None:
+        """Who joined is known to all."""
+        self._joins = _Levels()
+
+    def pick(self, most: int, often: int, size: int) -> list[str]:
+        """What a message with room for ``most`` tells, in a fleet of this size; it counts as told."""
         if most <= 0:
             return []
         found = self._urgent.first(most, often) if len(self._urgent) else []
         if len(self._joins) and len(found) < most:
-            found += self._joins.first(min(JOINS, most - len(found)), often)
+            found += self._joins.first(min(JOINS if size > SMALL else JOINS_SMALL, most - len(found)), often)
         return found
--- a/rushsaddle/fleet/reconcile.py
+++ b/rushsaddle/fleet/reconcile.py
@@ -35,12 +35,14 @@
 DATAGRAMS = 8  # in one answer
 WAIT_US = 1_000_000  # an answer to a comparing
 CALM = 4  # periods
-MANY = 32  # entries that came in since the tables were equal: then we are not settled
+SETTLED = 4  # roots in a row that were ours: then we are settled
+MANY = 32  # entries that came in since, or an eighth of the members where that is less: then no more
 STRIKE_US = 8_000_000  # a member that differs for no reason is let be, twice as long each time
 STRIKE_MOST_US = 3_600_000_000
 STRIKES_MOST = 64  # members that are let be
 VERIFY = 16  # suspected and pinged by what one datagram tells
 VERIFIED_MOST = 64  # suspects, until which what is told of the dead makes more of them
+ALL = 8  # roots in a row that were ours: then all others' are
 READ_MOST = 1024  # entries read to tell back
 
 
@@ -162,13 +164,15 @@
     """When to compare, and with whom not."""
 
     __slots__ = (
-        "_at", "_changed_us", "_from", "_root", "_since_us", "_strikes", "grown", "period_us", "settled",
+        "_agreed", "_at", "_changed_us", "_from", "_root", "_since_us", "_strikes", "grown", "period_us",
+        "settled",
     )
 
     def __init__(self, period_us: int, now: int) -> None:
         self.period_us = period_us
         self.settled = False  # a root was agreed, and few came in since
         self.grown = 0  # entries that came in since then, or since the last comparing
+        self._agreed = 0  # in a row
         self._at: str | None = None  # in flight, with whom
         self._since_us = now - CALM * period_us
         self._from = 0  # our root when it began
@@ -181,19 +185,25 @@
         if root != self._root:
             self._root, self._changed_us = root, now
 
-    def came(self) -> None:
-        """One came in, or came back."""
+    def came(self, size: int) -> None:
+        """One came in, or came back; so many are up now."""
         self.grown += 1
-        if self.grown > MANY:
+        if self.grown > min(MANY, size // 8):
             self.settled = False
 
-    def agreed(self, place: str) -> None:
-        """Its root is ours."""
-        self.settled = True
+    def differs(self) -> None:
+        """Somebody's root is not ours."""
+        self._agreed = 0
+
+    def agreed(self, place: str) -> bool:
+        """Its root is ours.  Returns whether all others' are, as far as can be told."""
         self.grown = 0
+        self._agreed += 1
+        self.settled = self.settled or self._agreed >= SETTLED
         self._strikes.pop(place, None)
         if self._at == place:
             self._at = None
+        return self._agreed >= ALL
 
     def wanted(self, now: int, place: str) -> bool:
         """Whether to compare with the one whose root is another; if so, it is in flight."""
--- a/rushsaddle/fleet/states.py
+++ b/rushsaddle/fleet/states.py
@@ -150,7 +150,7 @@
             self.fault(now, "the table is full", told.place)
             return False
         self.table.put(entry(told.place, told.incarnation, State.ALIVE, told.speaks))
-        self.compares.came()
+        self.compares.came(self.size)
         self.changes.append(Change(told.place, None, State.ALIVE))
         if news:
             self.news.put(told.place, False)
@@ -171,14 +171,16 @@
             self.doubt()
         return True
 
-    def accuse(self, mine: Entry, incarnation: int, by: int, now: int, speaks: int = 0) -> bool:
+    def accuse(self, mine: Entry, incarnation: int, by: int, now: int, speaks: int = 0,
+               *, news: bool = True) -> bool:
         if incarnation < mine.incarnation or not mine.up:
             return False
         if mine.state is State.ALIVE or incarnation > mine.incarnation:
-            self.become(mine, State.SUSPECT, now, incarnation, speaks)
+            self.become(mine, State.SUSPECT, now, incarnation, speaks, news=news)
         if not self._suspicions.accuse(mine.place, by, self.size):
             return False
-        self.news.put(mine.place, True)
+        if news:
+            self.news.put(mine.place, True)
         return True
 
     def become(self, mine: Entry, state: State, now: int, incarnation: int | None = None, speaks: int = 0,
@@ -195,7 +197,7 @@
         if not new.up:
             self._bury(new, now)
         elif not mine.up:
-            self.compares.came()
+            self.compares.came(self.size)
         if self.size != was and was <= CONFIRM + 2:
             self._suspicions.again(self.size)
         if news:
@@ -211,13 +213,12 @@
 
     # ------------------------------------------------------------ reconciling
 
-    def merge(self, told: Iterable[Entry], source: str, now: int, verify: int = VERIFY
-              ) -> tuple[list[str], bool]:
+    def merge(self, told: Iterable[Entry], now: int, verify: int = VERIFY) -> tuple[list[str], bool]:
         """Takes in what is told as a part of a table, and so is no news.  Returns who became suspect by it
         and is to be asked, at most ``verify``, and whether anything has changed."""
         ask: list[str] = []
         changed = False
-        by = checksum(source)
+        by = checksum(self.me)  # what many tell us of a cut is one accusation, not many
         for theirs in told:
             if not self._believed(theirs, now):
                 continue
@@ -236,7 +237,7 @@
                     changed = True
                 case Verdict.SUSPECT if mine is not None:
                     if len(ask) < verify and len(self._suspicions) < VERIFIED_MOST:
-                        if self.accuse(mine, theirs.incarnation, by, now):
+                        if self.accuse(mine, theirs.incarnation, by, now, news=False):
                             ask.append(theirs.place)
                             changed = True
         return ask, changed
--- a/rushsaddle/fleet/table.py
+++ b/rushsaddle/fleet/table.py
@@ -34,6 +34,7 @@
 PLACE_BYTES = 6
 VECTOR = struct.Struct(f"<{LEAVES}I")
 INCARNATION_MOST = 2**45  # beyond this nobody counts up; milliseconds since the epoch are under 2**41
+ROOT_MOST = 2**60
 CACHED = 16_384
 DRAWS = 64  # at most so many stale ones are passed over in one draw
 
--- a/rushsaddle/fleet/wire.py
+++ b/rushsaddle/fleet/wire.py
@@ -7,10 +7,10 @@
 
 Version 1: [1, kind, number, source, incarnation, stamp, target, updates, speaks], where an update is [place,
 incarnation, state, by].  The last one came later; who does not know it passes over it.
-Version 2: [2, kind, number, head, root, stamp, target, body], without what is nil or empty at its end.  The
-head is the sender's own entry (12 bytes, see ``table``), the target 6 bytes.  The body of COMPARE is the
-vector, that of ENTRIES a byte n, n leaves that are told whole, and 12 bytes an entry; all others have rumours
-there, an entry and 4 bytes of who accuses it.
+Version 2: [2, kind, head, stamp, target, body], without what is nil or empty at its end.  The head is 24
+bytes: number (4), the sender's own entry (12, see ``table``), its root (8); the target 6.  The body
+of COMPARE is the vector, that of ENTRIES a byte n, n leaves that are told whole, and 12 bytes an entry; all
+others have rumours there, an entry and 4 bytes of who accuses it.
 
 Bounds: a datagram takes ``MESSAGE_MOST`` bytes: ``RUMOURS_MOST`` rumours, or ``ENTRIES_MOST`` entries.
 """
@@ -28,7 +28,7 @@
 import orjson
 
 from ..core.names import LIST_MOST
-from .table import ENTRY_BYTES, PLACE_BYTES, VECTOR, Entry, entry_of, packed_place, place_of
+from .table import ENTRY_BYTES, PLACE_BYTES, ROOT_MOST, VECTOR, Entry, entry_of, packed_place, place_of
 from .table import State as State
 from .table import entry as entry_for
 
@@ -111,14 +111,16 @@
     speaks: Speaks = 1
 
 
+_HEAD = struct.Struct(f">I{ENTRY_BYTES}sQ")
+HEAD_BYTES = _HEAD.size
+
+
 class _Second(msgspec.Struct, array_like=True, frozen=True):
     """Version 2 as it is read."""
 
     version: int
     kind: Kind
-    number: Annotated[int, msgspec.Meta(ge=0, lt=2**32)]
-    head: Annotated[bytes, msgspec.Meta(min_length=ENTRY_BYTES, max_length=ENTRY_BYTES)]
-    root: Annotated[int, msgspec.Meta(ge=0, lt=2**60)]
+    head: Annotated[bytes, msgspec.Meta(min_length=HEAD_BYTES, max_length=HEAD_BYTES)]
     stamp: Stamp | None = None
     target: Annotated[bytes, msgspec.Meta(min_length=PLACE_BYTES, max_length=PLACE_BYTES)] | None = None
     body: bytes = b""
@@ -129,11 +131,11 @@
 _SECOND = msgspec.msgpack.Decoder(_Second)
 _RUMOUR = struct.Struct(f">{ENTRY_BYTES}sI")
 
-PLAIN_BYTES = 47  # a ping of version 2 that tells nothing
+PLAIN_BYTES = 45  # a ping of version 2 that tells nothing
 FIRST_BYTES = 64  # ... of version 1, at most
 STAMP_BYTES = 41
-# array, version, kind, number, head, root, stamp, target, the body's own head
-HEAD_MOST = 1 + 1 + 1 + 5 + 14 + 9 + STAMP_BYTES + 8 + 3
+# array, version, kind, head, stamp, target, the body's own head
+HEAD_MOST = 1 + 1 + 1 + 2 + HEAD_BYTES + STAMP_BYTES + 8 + 3
 RUMOUR_BYTES = _RUMOUR.size
 RUMOURS_MOST = min(UPDATES_MOST, (MESSAGE_MOST - TAG - HEAD_MOST) // RUMOUR_BYTES)
 ENTRIES_ROOM = MESSAGE_MOST - TAG - HEAD_MOST - 1  # bytes for leaves and entries
@@ -207,7 +209,8 @@
 
 
 def _second(m: Message) -> bytes:
-    head = entry_for(m.source, m.incarnation, State.ALIVE, SECOND).packed
+    own = entry_for(m.source, m.incarnation, State.ALIVE, SECOND).packed
+    head = _HEAD.pack(m.number & 0xFFFFFFFF, own, m.root or 0)
     target = None if m.target is None else packed_place(m.target)
     match m.kind:
         case Kind.COMPARE:
@@ -219,8 +222,8 @@
                 _RUMOUR.pack(entry_for(u.place, u.incarnation, u.state, u.speaks).packed, u.by)
                 for u in m.updates
             ])
-    fields: list[Any] = [m.version, m.kind, m.number, head, m.root or 0, m.stamp, target, body]
-    while not fields[-1] and len(fields) > 5:
+    fields: list[Any] = [m.version, m.kind, head, m.stamp, target, body]
+    while not fields[-1] and len(fields) > 3:
         fields.pop()
     return _ENCODER.encode(fields)
 
@@ -259,7 +262,10 @@
 
 def _of_second(m: _Second) -> Message:
     """Raises ValueError for what makes no sense."""
-    head = entry_of(m.head)
+    number, own, root = _HEAD.unpack(m.head)
+    head = entry_of(own)
+    if root >= ROOT_MOST:
+        raise ValueError("a root of more than 60 bits")
     if m.version != SECOND or head.speaks != SECOND or head.state is not State.ALIVE:
         raise ValueError("its sender does not speak version 2, or is gone")
     updates: tuple[Update, ...] = ()
@@ -283,8 +289,8 @@
                 raise ValueError(f"rumours of {len(m.body)} bytes")
             updates = tuple([_rumour(packed, by) for packed, by in _RUMOUR.iter_unpack(m.body)])
     return Message(
-        SECOND, m.kind, m.number, head.place, head.incarnation, m.stamp,
-        None if m.target is None else place_of(m.target), updates, m.root, vector, leaves, entries, SECOND,
+        SECOND, m.kind, number, head.place, head.incarnation, m.stamp,
+        None if m.target is None else place_of(m.target), updates, root, vector, leaves, entries, SECOND,
     )
 
 
