Tests of tables, reconciling, both versions of the message, and whole fleets in virtual time

Change: test_table, test_reconcile, test_whole, additions to test_wire; they found that an ASK without a target ended a member's process loop with an exception, and a size that was told too small; both mended.

--- a/rushsaddle/fleet/members.py
+++ b/rushsaddle/fleet/members.py
@@ -254,12 +254,12 @@
                 if self._probe is not None and self._probe.number == number:
                     self._probe.refused += 1
             case Kind.ASK:
-                if message.target in self.others and len(self._relays) < RELAYS:
-                    assert message.target is not None
+                target = message.target
+                if target is not None and target in self.others and len(self._relays) < RELAYS:
                     mine = self._count()
                     until = now + self.rules.period_us // 2
-                    self._relays[mine] = (source, number, until, message.target)
-                    return [self._say(message.target, Kind.PING, mine)]
+                    self._relays[mine] = (source, number, until, target)
+                    return [self._say(target, Kind.PING, mine)]
             case Kind.JOIN:
                 return self._welcome(source)
             case Kind.WELCOME:
--- a/rushsaddle/fleet/wire.py
+++ b/rushsaddle/fleet/wire.py
@@ -134,6 +134,7 @@
 PLAIN_BYTES = 45  # a ping of version 2 that tells nothing
 FIRST_BYTES = 64  # ... of version 1, at most
 STAMP_BYTES = 41
+BODY_BYTES = 6  # about a body: nil for what stands before it, its own head, the count of leaves
 # array, version, kind, head, stamp, target, the body's own head
 HEAD_MOST = 1 + 1 + 1 + 2 + HEAD_BYTES + STAMP_BYTES + 8 + 3
 RUMOUR_BYTES = _RUMOUR.size
@@ -193,6 +194,7 @@
     head += (STAMP_BYTES if message.stamp else 0) + (8 if message.target else 0)
     if message.version != SECOND:
         return head + UPDATE_MOST * len(message.updates)
+    head += BODY_BYTES if message.updates or message.kind > Kind.WELCOME else 0
     return (head + RUMOUR_BYTES * len(message.updates) + len(message.vector) + len(message.leaves)
             + ENTRY_BYTES * len(message.entries))
 
--- /dev/null
+++ b/tests/members/test_table.py
@@ -0,0 +1,199 @@
+"""Tables and their digests, orders of random draws, news and suspects: pure, beside a plain recomputation."""
+
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from rushsaddle.fleet.news import JOINS, JOINS_MOST, News
+from rushsaddle.fleet.suspects import Suspects
+from rushsaddle.fleet.table import (
+    INCARNATION_MOST,
+    LEAF_MOST,
+    LEAVES,
+    Entry,
+    Order,
+    Others,
+    State,
+    Table,
+    entry,
+    entry_of,
+    packed_place,
+)
+
+ME = entry("10.0.0.1:7400", 100, State.ALIVE, 2)
+states = st.sampled_from(State)
+places = st.integers(2, 40).map(lambda n: f"10.0.{n % 3}.{n}:7400")
+entries = st.builds(entry, places, st.integers(0, 5), states, st.integers(1, 2))
+changes = st.lists(entries | places, max_size=60)
+
+
+def play(story: list[Entry | str]) -> tuple[Table, dict[str, Entry]]:
+    table, plain = Table(ME), {ME.place: ME}
+    for step in story:
+        if isinstance(step, Entry):
+            table.put(step)
+            plain[step.place] = step
+        elif step in plain:
+            table.forget(plain.pop(step))
+    return table, plain
+
+
+def up(plain: dict[str, Entry]) -> set[tuple[str, int]]:
+    return {(e.place, e.incarnation) for e in plain.values() if e.up}
+
+
+@given(changes)
+def test_digests_and_orders_kept_by_changes_are_those_of_a_recomputation(story: list[Entry | str]) -> None:
+    table, plain = play(story)
+    assert dict(table) == plain and len(table) == len(plain)
+    afresh = Table(ME)
+    for one in plain.values():
+        afresh.put(one)
+    assert table.root == afresh.root and table.vector() == afresh.vector()
+    assert table.size == len(up(plain)) and len(table.gone) == len(plain) - len(up(plain))
+    everybody = table.up.sample(Random(1), 100)
+    assert sorted([*everybody, ME.place]) == sorted(place for place, _ in up(plain))
+    assert set(Others(table)) == set(plain) - {ME.place} and ME.place not in Others(table)
+
+
+@given(changes, changes)
+def test_digests_are_equal_just_when_the_same_are_up(one: list[Entry | str], two: list[Entry | str]) -> None:
+    (mine, plain), (theirs, other) = play(one), play(two)
+    same = up(plain) == up(other)
+    assert (mine.root == theirs.root) is same
+    assert (mine.differing(theirs.vector()) == []) is same
+    leaves = {entry(place, 0, State.ALIVE).leaf for place, _ in up(plain) ^ up(other)}
+    assert set(mine.differing(theirs.vector())) == leaves
+
+
+@given(entries)
+def test_an_entry_is_twelve_bytes_and_back_and_one_object(one: Entry) -> None:
+    assert len(one.packed) == 12 and entry_of(one.packed) is one
+    assert one.mark < 2**60 and one.up is (one.state in (State.ALIVE, State.SUSPECT))
+
+
+@pytest.mark.parametrize("place", [
+    "10.0.0.1:0", "10.0.0.1:65536", "10.0.0.256:1", "10.0.1:1", "x", "1.2.3.4:",
+])
+def test_what_is_no_place_has_no_entry(place: str) -> None:
+    assert packed_place(place) is None and place not in Table(ME)
+    with pytest.raises(ValueError):
+        entry(place, 1, State.ALIVE)
+
+
+def test_an_incarnation_at_the_top_and_torn_bytes_have_no_entry() -> None:
+    assert entry(ME.place, INCARNATION_MOST - 1, State.LEFT, 2).incarnation == INCARNATION_MOST - 1
+    for bad in (INCARNATION_MOST, -1):
+        with pytest.raises(ValueError):
+            entry(ME.place, bad, State.ALIVE)
+    for data in (b"", ME.packed[:-1], ME.packed + b"\0", ME.packed[:4] + b"\0\0" + ME.packed[6:]):
+        with pytest.raises(ValueError):
+            entry_of(data)
+
+
+def test_pages_tell_everybody_once_and_are_bounded() -> None:
+    table = Table(ME)
+    for n in range(1000):
+        table.put(entry(f"10.{n // 250}.1.{n % 250}:1", 1, State(n % 4)))
+    seen: Counter[str] = Counter()
+    leaf: int | None = 0
+    while leaf is not None:
+        found, leaf = table.page(leaf, 50)
+        assert len(found) < 50 + LEAF_MOST
+        seen.update(e.place for e in found)
+    assert set(seen) == set(table) and set(seen.values()) == {1}
+    assert table.page(LEAVES, 50) == ([], None) and table.page(-1, 50) == ([], None)
+
+
+@given(st.lists(st.integers(0, 30), max_size=80), st.integers(0, 99))
+def test_an_order_asks_everybody_once_a_round_whoever_comes_and_goes(story: list[int], seed: int) -> None:
+    order, draw, there = Order(), Random(seed), set[str]()
+    for n in story:
+        place = str(n)
+        if place in there:
+            there.remove(place)
+            order.drop(place)
+        else:
+            there.add(place)
+            order.add(place)
+        assert len(order) == len(there)
+        asked = order.next(draw)
+        assert asked in there if there else asked is None
+    while there and order._cursor < len(order._places):  # the round that was begun
+        order.next(draw)
+    assert {order.next(draw) for _ in there} == there
+    sampled = order.sample(draw, 3, "5")
+    assert len(set(sampled)) == len(sampled) == min(3, len(there - {"5"})) and set(sampled) <= there - {"5"}
+
+
+def test_an_order_forgets_those_who_were_dropped_long_ago() -> None:
+    order = Order()
+    for n in range(10_000):
+        order.add(str(n))
+        order.drop(str(n))
+    assert len(order) == 0 and len(order._places) < 300
+
+
+def test_bad_news_goes_first_the_least_told_first_and_few_joins_with_it() -> None:
+    news = News()
+    for n in range(1000):
+        news.put(f"join {n}", urgent=False)
+    assert len(news) == JOINS_MOST
+    news.put("dead", urgent=True, told=1)
+    news.put("suspect", urgent=True)
+    picked = news.pick(64, often=3, size=5000)
+    assert picked[:2] == ["suspect", "dead"] and len(picked) == 2 + JOINS
+    assert news.pick(1, often=3, size=5000) == ["suspect"]
+    assert news.pick(64, often=3, size=5000)[:3] == ["dead", "suspect", "join 8"]
+    small = news.pick(64, often=3, size=100)
+    assert len(small) == 32 and "dead" not in news and news.pick(0, 3, 100) == []
+    news.spread()
+    assert len(news) == 0
+
+
+def test_each_news_is_told_so_often_and_no_more() -> None:
+    news = News()
+    for n in range(20):
+        news.put(str(n), urgent=n % 2 == 0)
+    told: Counter[str] = Counter()
+    while len(news):
+        told.update(news.pick(5, often=4, size=1000))
+    assert set(told.values()) == {4} and len(told) == 20
+
+
+@given(st.lists(st.tuples(st.integers(0, 300), st.integers(0, 5), st.integers(0, 9)), max_size=50))
+def test_suspects_are_due_as_their_accusers_say(story: list[tuple[int, int, int]]) -> None:
+    """Beside a plain scan: 1000 with three accusers, 2000 with one, from when it was first accused."""
+    suspects, now = Suspects(1000), 0
+    plain: dict[str, tuple[int, list[int]]] = {}
+    for wait, n, by in story:
+        now += wait
+        due = {p for p, (since, who) in plain.items()
+               if now >= since + 1000 * (2 + 3 - len(who)) // 2}
+        assert set(suspects.due(now, 50, 1000)) == due
+        for place in due:
+            suspects.end(place)
+            del plain[place]
+        if n not in map(int, plain):
+            suspects.begin(str(n), now)
+            plain[str(n)] = now, []
+        who = plain[str(n)][1]
+        counts = by not in who and len(who) < 3
+        assert suspects.accuse(str(n), by, 50) is counts
+        who += [by] if counts else []
+        assert suspects.by(str(n)) == who[-1] and suspects.places == plain.keys()
+
+
+def test_a_stall_moves_all_deadlines_and_expiries_are_bounded() -> None:
+    suspects = Suspects(1000)
+    for n in range(100):
+        suspects.begin(str(n), 0)
+        suspects.accuse(str(n), 1, 50)
+    suspects.stalled(5000)
+    assert suspects.next_us == 7000 and list(suspects.due(6999, 50, 64)) == []
+    assert len(list(suspects.due(7000, 50, 64))) == 64
