--- a/tests/members/test_members.py
+++ b/tests/members/test_members.py
@@ -161,3 +161,25 @@
     member.tick(1)
     member.tick(30 * SECOND)
     assert member.state_of(OTHER) is State.ALIVE and member.health == 1
+
+
+def test_a_message_that_comes_after_a_stall_blames_nobody_either() -> None:
+    """What waited in the socket is heard before the tick that is late."""
+    member = alone()
+    member.hear(0, said(Kind.ACK))
+    member.tick(1)
+    member.hear(2, said(Kind.ACK, Update(OTHER, 50, State.SUSPECT, 7), source="10.0.0.3:7400"))
+    member.hear(30 * SECOND, said(Kind.ACK, source="10.0.0.3:7400"))
+    member.tick(30 * SECOND + 1)
+    assert member.state_of(OTHER) is State.SUSPECT and member.health == 1
+
+
+def test_a_probe_without_an_answer_asks_helpers_and_the_target_once_more() -> None:
+    member = alone()
+    member.hear(0, said(Kind.ACK))
+    member.hear(0, said(Kind.ACK, source="10.0.0.3:7400"))
+    (first,) = member.tick(1)
+    (helper,) = {OTHER, "10.0.0.3:7400"} - {first.place}
+    again = member.tick(member.due_us)
+    assert {(o.place, o.message.kind) for o in again} == {(first.place, Kind.PING), (helper, Kind.ASK)}
+    assert {o.message.number for o in again} == {first.message.number}
