--- a/rushsaddle/fleet/members.py
+++ b/rushsaddle/fleet/members.py
@@ -7,6 +7,9 @@
 (Lifeguard, Dadgar, Phillips, Currey 2018), and tells whoever it takes for suspect or dead so, which is how a
 stalled one learns of it.  What rumours miss is reconciled: see ``reconcile``; ``table`` is what is known.
 
+Answers from another region may take longer than a period: helpers are asked only after what slow answers
+have taken lately, and ``PROBES`` are in flight at once.
+
 Bounds, for N members: ``most`` members with their tombs; a message's worth of news each; ``HELPERS`` asked a
 probe, ``RELAYS`` pings for others at once, ``WELCOMES`` datagrams to one of version 1 that joins, one of
 ``WELCOMED`` members to any other; ``EXPIRIES`` suspects and as many tombs a tick.  No message and no tick
@@ -48,6 +51,10 @@
 
 HELPERS = 3  # asked to ping for us
 ACK_SHARE = 0.4  # of a period: a direct answer must have come, before others are asked
+PROBES = 6  # in flight at once, where answers take longer than a period
+SLOW_US = 100_000  # how long a slow answer takes, until it is known
+SLOW_MOST_US = 400_000  # what takes longer is no far member but a stalled one
+FADE = 64  # answers, after which a slow one counts a third
 WELCOMES = 8  # datagrams
 WELCOMED = 16  # members named to one that joins
 JOIN_MOST = 16  # periods between two tries to join
@@ -65,10 +72,11 @@
 
 
 class _Probe:
-    __slots__ = ("ask_us", "asked", "number", "place", "refused", "until_us")
+    __slots__ = ("ask_us", "asked", "number", "place", "refused", "since_us", "until_us")
 
-    def __init__(self, place: str, number: int, ask_us: int, until_us: int) -> None:
+    def __init__(self, place: str, number: int, now: int, ask_us: int, until_us: int) -> None:
         self.place = place
+        self.since_us = now
         self.number = number
         self.ask_us = ask_us
         self.until_us = until_us
@@ -99,7 +107,9 @@
         self._try_at = 1  # the period of the next one
         self._to_try: list[str] = []
         self._number = draw.getrandbits(32)
-        self._probe: _Probe | None = None
+        self._probes: dict[int, _Probe] = {}
+        self._late: dict[int, int] = {}  # when those probes began that have failed: their answer may come
+        self._slow_us = SLOW_US  # how long a slow answer takes
         self._relays: dict[int, tuple[str, int, int, str]] = {}  # for whom, its number, until, target
 
     # ------------------------------------------------------------ time
@@ -111,12 +121,12 @@
             return []
         out: list[Out] = []
         self._begin(now)
-        probe = self._probe
-        if probe is not None and not probe.asked and now >= probe.ask_us:
-            out += self._ask_others(probe)
-        if probe is not None and now >= probe.until_us:
-            self._probe = None
-            self._failed(probe, now)
+        for number, probe in list(self._probes.items()):
+            if not probe.asked and now >= probe.ask_us:
+                out += self._ask_others(probe)
+            if now >= probe.until_us:
+                del self._probes[number]
+                self._failed(probe, now)
         for number, (place, theirs, until, target) in list(self._relays.items()):
             if now >= until:
                 del self._relays[number]
@@ -138,11 +148,10 @@
 
     def _plan(self, now: int) -> None:
         due = self._period_us
-        if self._probe is not None:
-            due = min(due, self._probe.until_us if self._probe.asked else self._probe.ask_us)
-        for _, _, until, _ in self._relays.values():  # the first is the oldest
+        for probe in self._probes.values():
+            due = min(due, probe.until_us if probe.asked else probe.ask_us)
+        for _, _, until, _ in self._relays.values():
             due = min(due, until)
-            break
         expiry = self._suspicions.next_us
         if expiry is not None:
             due = min(due, expiry)
@@ -151,7 +160,8 @@
 
     def _stalled(self, late: int) -> None:
         """This process did not run for so long: what was due meanwhile proves nothing about others."""
-        self._probe = None
+        self._probes.clear()
+        self._late.clear()
         self._relays.clear()
         self._suspicions.stalled(late)
         self.doubt()
@@ -164,10 +174,13 @@
             out += self._join()
         elif self._periods % RECALL == 0:
             out += self._recall()
-        if self._probe is None and (place := self.table.up.next(self.draw)) is not None:
+        if len(self._probes) < PROBES and (place := self.table.up.next(self.draw)) is not None:
             number = self._count()
+            self._count()  # the next one is the second try's, so that it is known which was answered
             wait = self._period_us - now
-            self._probe = _Probe(place, number, now + int(ACK_SHARE * wait), now + wait)
+            ask = max(int(ACK_SHARE * wait), self._slow_us * 5 // 4)
+            until = max(wait, ask + 2 * self._slow_us)
+            self._probes[number] = _Probe(place, number, now, now + ask, now + until)
             out.append(self._say(place, Kind.PING, number))
         return out
 
@@ -198,11 +211,14 @@
         helpers = self.table.up.sample(self.draw, HELPERS, probe.place)
         probe.asked = max(1, len(helpers))
         return [
-            self._say(probe.place, Kind.PING, probe.number, version=VERSION),
+            self._say(probe.place, Kind.PING, probe.number + 1 & 0xFFFFFFFF, version=VERSION),
             *(self._say(place, Kind.ASK, probe.number, probe.place) for place in helpers),
         ]
 
     def _failed(self, probe: _Probe, now: int) -> None:
+        if len(self._late) >= PROBES:
+            del self._late[next(iter(self._late))]
+        self._late[probe.number] = probe.since_us
         if probe.refused < probe.asked:  # helpers are silent, too: it may be us
             self.doubt()
         target = self.table.get(probe.place)
@@ -249,15 +265,15 @@
             case Kind.PING:
                 return [self._say(source, Kind.ACK, number)]
             case Kind.ACK:
-                return self._acked(message)
+                return self._acked(now, message)
             case Kind.NACK:
-                if self._probe is not None and self._probe.number == number:
-                    self._probe.refused += 1
+                if (refused := self._probes.get(number)) is not None:
+                    refused.refused += 1
             case Kind.ASK:
                 target = message.target
                 if target is not None and target in self.others and len(self._relays) < RELAYS:
                     mine = self._count()
-                    until = now + self.rules.period_us // 2
+                    until = now + max(self.rules.period_us // 2, self._slow_us * 5 // 4)
                     self._relays[mine] = (source, number, until, target)
                     return [self._say(target, Kind.PING, mine)]
             case Kind.JOIN:
@@ -272,16 +288,26 @@
                 return self._entries(now, message)
         return []
 
-    def _acked(self, message: Message) -> list[Out]:
-        probe = self._probe
-        if probe is not None and probe.number == message.number:
-            self._probe = None
+    def _acked(self, now: int, message: Message) -> list[Out]:
+        probe = self._probes.pop(message.number, None)
+        direct = message.target is None  # ... and to the first try
+        since = self._late.pop(message.number, None) if probe is None else probe.since_us
+        if since is not None and direct:
+            self._took(now - since)
+        if probe is None:
+            probe = self._probes.pop(message.number - 1 & 0xFFFFFFFF, None)
+        if probe is not None:
             self.welcomed = True
             self.health = max(0, self.health - 1)
             return []
         relay = self._relays.pop(message.number, None)
         return [] if relay is None else [self._say(relay[0], Kind.ACK, relay[1], relay[3])]
 
+    def _took(self, took: int) -> None:
+        """An answer has taken so long: who is far is given time, and who is near soon no more than before."""
+        if took <= SLOW_MOST_US:
+            self._slow_us = max(took, self._slow_us - self._slow_us // FADE)
+
     def _welcome(self, place: str) -> list[Out]:
         """With nothing left to spend it is not answered: that it joins is news already."""
         if not self.budget.datagrams:
--- a/rushsaddle/fleet/states.py
+++ b/rushsaddle/fleet/states.py
@@ -149,7 +149,8 @@
         if len(self.table) > self.rules.most or not self.table.room(told):
             self.fault(now, "the table is full", told.place)
             return False
-        self.table.put(entry(told.place, told.incarnation, State.ALIVE, told.speaks))
+        alive = told.state is State.ALIVE
+        self.table.put(told if alive else entry(told.place, told.incarnation, State.ALIVE, told.speaks))
         self.compares.came(self.size)
         self.changes.append(Change(told.place, None, State.ALIVE))
         if news:
--- a/tests/members/test_whole.py
+++ b/tests/members/test_whole.py
@@ -7,7 +7,7 @@
 import pytest
 
 from measure.members import SECOND, Network
-from rushsaddle.fleet.members import Members
+from rushsaddle.fleet.members import Members, Out
 from rushsaddle.fleet.wire import State
 
 
@@ -186,3 +186,30 @@
     network.run(10)
     assert whole(network)
     assert sent <= 12_000 + 10 * 6_000 + 10 * 2 * 250  # ... and pings into debt
+
+
+class Far(Network):
+    """Three regions, 150 ms from each other, one way."""
+
+    def _send(self, source: str, out: list[Out]) -> None:
+        for place, message in out:
+            self.messages += 1
+            far = int(source[-6]) % 3 != int(place[-6]) % 3
+            delay = 150_000 if far else 500
+            if not self.cut(source, place):
+                self._at(self.now + delay + self.random.randrange(1_000), place, message)
+
+
+def test_members_that_answer_later_than_a_period_are_not_suspected() -> None:
+    network = Far(30, 2)
+    network.run(10)
+    assert whole(network)
+    network.seen.clear()
+    network.messages = 0
+    network.run(20)
+    assert not [of for _, _, of, state in network.seen if state in (State.SUSPECT, State.DEAD)]
+    assert network.messages <= 30 * 20 * 8 * 1.1  # and nobody is asked to help
+    gone = network.place(7)
+    network.kill(gone)
+    network.run(10)
+    assert network.knows(gone, State.DEAD) == 29 and dead(network) == {gone}
