--- a/measure/capacity.py
+++ b/measure/capacity.py
@@ -2,7 +2,7 @@
 
     python -m measure.capacity slopes [ROLE ...] [--sizes N ...] [--seeds N] [--into FILE]
         [--seconds S] [--mb M]
-    python -m measure.capacity fit FILE
+    python -m measure.capacity fit FILE [--page docs/measured/capacity.md]
     python -m measure.capacity chart FILE [--folder docs/measured]
     python -m measure.capacity fleet ...          members of a fleet (measure/hollow.py)
 
@@ -41,6 +41,7 @@
 FILE = Path(__file__).parent.parent / "docs" / "measured" / "capacity.json"
 SIZES = (312, 625, 1250, 2500, 5000)
 PLAN = worked.Plan()
+MARKS = ("<!-- slopes: python -m measure.capacity fit --page -->", "<!-- end of slopes -->")
 Measure = Callable[[int, int, Path], Figures]
 
 
@@ -231,33 +232,57 @@
     return f"{value:,.0f}" if abs(value) >= 1000 else f"{value:.3g}"
 
 
-def fit(told: argparse.Namespace) -> int:
-    kept = json.loads(told.file.read_text())
-    found = verdicts(kept)
+def tables(kept: dict[str, Any]) -> list[str]:
+    """Markdown: a table for each role, then what is worked out."""
+    found, lines = verdicts(kept), []
     for name, run in kept["runs"].items():
         sizes = sorted({row["size"] for row in kept["rows"] if row["role"] == name})
         seeds = len({row["seed"] for row in kept["rows"] if row["role"] == name})
-        print(f"\n### {name}: by {run['size']}\n")
-        print(f"`{run['command']}`, {seeds} seeds, {run['beside']} at once, {run['seconds']:.0f} s\n")
-        print("| figure | " + " | ".join(map(show, sizes)) + " | fit without the largest | predicted "
-              "| error, % | at the plan's " + show(ROLES[name].named) + " |")
-        print("| --- " * (len(sizes) + 5) + "|")
+        lines += [
+            "", f"### {name}, by {run['size']}", "",
+            f"`{run['command']}`: {seeds} seeds, {run['beside']} rows at once, {run['seconds']:.0f} s", "",
+            "| figure | " + " | ".join(map(show, sizes))
+            + f" | fit without the largest | predicted | error, % | at {show(ROLES[name].named)} |",
+            "| --- " * (len(sizes) + 5) + "|",
+        ]
         for (role, figure), seen in found.items():
             if role != name:
                 continue
-            medians = [statistics.median(y for n, y in points(kept, name, figure) if n == size)
-                       for size in sizes]
+            medians = [
+                show(statistics.median(y for n, y in points(kept, name, figure) if n == size))
+                for size in sizes
+            ]
             form = f"{show(seen.fit.base)} ± {show(seen.fit.base_half)}"
             if seen.fit.form != "flat":
                 form += f" + ({show(seen.fit.slope)} ± {show(seen.fit.slope_half)}) {seen.fit.form}"
-            rule = "" if seen.chosen_by == "AICc" else f" ({seen.chosen_by})"
-            print(f"| {figure} | " + " | ".join(map(show, medians)) + f" | {form}{rule} "
-                  f"| {show(seen.predicted)} ± {show(seen.predicted_half)} | {seen.error_percent:+.1f} "
-                  f"| {show(seen.extrapolated)} ± {show(seen.extrapolated_half)} |")
-    print("\n### worked out\n\n| what | figure | value |\n| --- | --- | --- |")
+            if seen.chosen_by != "AICc":
+                form += f", by {seen.chosen_by}"
+            lines.append(
+                f"| {figure} | {' | '.join(medians)} | {form} "
+                f"| {show(seen.predicted)} ± {show(seen.predicted_half)} | {seen.error_percent:+.1f} "
+                f"| {show(seen.extrapolated)} ± {show(seen.extrapolated_half)} |"
+            )
+    lines += ["", "### worked out, not measured", "", "| what | figures |", "| --- | --- |"]
     for what, row in worked_out(kept, found).items():
-        for figure, value in row.items():
-            print(f"| {what} | {figure} | {show(value)} |")
+        lines.append(f"| {what} | {', '.join(f'{key} {show(value)}' for key, value in row.items())} |")
+    return lines
+
+
+def put_between(page: str, lines: Sequence[str]) -> str:
+    """The page with these lines between its two marks; raises ValueError where a mark is missing."""
+    head, _, rest = page.partition(MARKS[0])
+    _, mark, tail = rest.partition(MARKS[1])
+    if not mark:
+        raise ValueError(f"no {MARKS[0]} before {MARKS[1]}")
+    return "\n".join([head + MARKS[0], *lines, "", mark + tail])
+
+
+def fit(told: argparse.Namespace) -> int:
+    lines = tables(json.loads(told.file.read_text()))
+    if told.page is None:
+        print("\n".join(lines))
+    else:
+        told.page.write_text(put_between(told.page.read_text(), lines))
     return 0
 
 
@@ -312,6 +337,7 @@
     measured.add_argument("--mb", type=float, help="less than half of the machine's memory")
     measured.set_defaults(run=slopes)
     fits = commands.add_parser("fit", help="tables of fits and predictions")
+    fits.add_argument("--page", type=Path, help="put them between the marks of this page")
     fits.set_defaults(run=fit)
     charts = commands.add_parser("chart", help="charts of the slopes that decide")
     charts.add_argument("--folder", type=Path, default=FILE.parent)
--- a/tests/scale/test_capacity.py
+++ b/tests/scale/test_capacity.py
@@ -94,6 +94,12 @@
     assert not into.exists()
 
 
+def test_a_page_without_marks_is_left_alone() -> None:
+    for page in ("nothing", capacity.MARKS[0], f"{capacity.MARKS[1]} {capacity.MARKS[0]}"):
+        with pytest.raises(ValueError, match="no <!-- slopes"):
+            capacity.put_between(page, ["table"])
+
+
 def test_an_unknown_role_is_named() -> None:
     with pytest.raises(SystemExit) as told:
         capacity.main(["slopes", "keeper"])
@@ -115,6 +121,13 @@
     assert found.fit.form == "n" and abs(found.error_percent) < 1
     assert capacity.main(["fit", str(into)]) == 0
     assert "| whole_bytes |" in capsys.readouterr().out
+    page = tmp_path / "page.md"
+    page.write_text(f"before\n{capacity.MARKS[0]}\nold\n{capacity.MARKS[1]}\nafter\n")
+    for _ in range(2):  # again over what it has put there
+        assert capacity.main(["fit", str(into), "--page", str(page)]) == 0
+    text = page.read_text()
+    assert text.startswith("before\n") and text.endswith(f"{capacity.MARKS[1]}\nafter\n")
+    assert text.count("| whole_bytes |") == 1 and "old" not in text
     # A second run of a role takes the place of its rows, and of no other's.
     kept["rows"].append({"role": "other", "size": 1, "seed": 0, "figures": {}})
     into.write_text(json.dumps(kept))
