A process that is started again takes callers once the list service has answered

Cause: s-'s zone is lost at 11.6 s; discovery tells so in versions 1 to 17, at 20.2 to 24.3 s of the log. n44 is started again with the list of the beginning: 29.373 n44 list saved version 0, 136 entries; 29.373 ready; 29.588 branch to s-; 33.779 list changes version 25 What discovery has counts as told 6 s later at the latest, arrived or not: by 19.9 + 6 = 25.9 s here, before the process began. All 44 that were started again were ready at once and went by that list for 2 to 4.4 s, until their turn at the service: `_serve` in node.py where lists are asked for. Ruled out: a late watch (first calls came within the 5 s of their spread), an older list, a branch drawn before the word.

Change: where lists are asked for, too, a node is ready once it was told the list, or could not reach the service; one that is overbooked was reached. At most TOLD_US, within which the first call and its turn end. The recorded exchanges wait for ready when they first speak to the node, not before its list is played.

--- a/rushsaddle/net/discovery.py
+++ b/rushsaddle/net/discovery.py
@@ -70,6 +70,7 @@
         self.version = 0
         self._owed = 0  # calls without an answer
         self._following = False  # the open watch has told its first list
+        self._reached = True  # the last call that failed has cost the service a turn
         self._moves = 0  # how often the service was replaced
         self._new = False  # the service has told nothing yet: it might read our version as one of its own
         self._task: Task | None = None
@@ -81,8 +82,11 @@
 
     @property
     def heard(self) -> bool:
-        """The service has told its list, or cannot be had now."""
-        return self._following or self.retry.failed > 0
+        """The service has told its list, or cannot be had now.
+
+        One that was reached and is overbooked can: what it has to tell counts as told.
+        """
+        return self._following or (self.retry.failed > 0 and (self.retry.pushed or not self._reached))
 
     def start(self, known: Any) -> None:
         """What was known before this start is the first event."""
@@ -122,9 +126,9 @@
                 yield from self._watch(self._moves)
             except Exception as error:
                 self.log.error("discovery failed", error)
-                reached = not isinstance(error, Unreached | Silent)
+                self._reached = not isinstance(error, Unreached | Silent)
                 # The node asks until it has the list; the decisions' calls wait, and are answered with it.
-                until = self.loop.now_us() + retry.wait_us(self.loop.now_us(), reached, self.draw())
+                until = self.loop.now_us() + retry.wait_us(self.loop.now_us(), self._reached, self.draw())
                 moves = self._moves
                 while moves == self._moves and self.loop.now_us() < until:
                     yield Wait(until_us=until)  # a further call waits with this one, a move does not
--- a/rushsaddle/node.py
+++ b/rushsaddle/node.py
@@ -16,6 +16,7 @@
 from typing import TYPE_CHECKING
 
 from tansygw import Dispatcher
+from tansygw.lists import TOLD_US
 
 from . import config
 from .core.decider import Decider
@@ -169,11 +170,12 @@
             self.loop.spawn(self._later(listen, door, LIST_US, lambda: self.discovery.following))
         elif self.fleet is not None:
             self.loop.spawn(self._later(listen, door, self.fleet.patience_us, self.fleet.listed))
-        elif self.discovery.retry.pushed:
-            # What the agent has counts as told from the first moment of this process, whatever the file says.
-            self.loop.spawn(self._later(listen, door, AGENT_US, lambda: self.discovery.heard))
         else:
-            self._serve(listen, door)
+            # What the service had to tell long ago counts as told from the first moment of this process,
+            # whatever the file says: by that list alone, which may be old, nobody is sent anything while the
+            # service can be asked.  Where it is asked, the first call and its turn end within TOLD_US.
+            longest = AGENT_US if self.discovery.retry.pushed else TOLD_US
+            self.loop.spawn(self._later(listen, door, longest, lambda: self.discovery.heard))
         self.loop.run()
         if self.waiting is not None:
             self.waiting.close()
--- a/tests/play.py
+++ b/tests/play.py
@@ -9,7 +9,7 @@
     c closes | c resets | c ends its sending | c sees the end | h1 stops | h1 fills | h1 empties
     w drips until the end
     config moves to discovery2 | config names KEY JSON | config breaks
-    pause 0.5 | signal TERM | node ends 0 | node says TEXT | node dies | node starts
+    pause 0.5 | signal TERM | node ends 0 | node says TEXT | node has not said TEXT | node dies | node starts
     set operator waiting.store "{folder}"             a setting of the operator, by the environment
     set assign limits.class.bulk-batch.attempts=1 | set routes /single-text/urgent
 
@@ -74,7 +74,8 @@
         self.operator: dict[str, str] = {}
         self.node: subprocess.Popen[bytes] | None = None
         self.told: dict[str, Any] = {}  # the configuration that it started with
-        self.port = self.door = 0  # of the node and its operators' door, which take free ones and say which
+        self._ports = (0, 0)  # of the node and its operators' door, which take free ones and say which
+        self._from = 0  # the log of this node begins there
 
     # ------------------------------------------------------------ the node
 
@@ -95,19 +96,35 @@
         for name in ("GW_NAME", "GW_LISTEN", "GW_ADMIN_ADDR", "GW_INHERITED_FD"):
             env.pop(name, None)
         env |= self.operator
-        before = len(self.log()) if (self.folder / "log").exists() else 0
+        self._ports = (0, 0)
+        self._from = len(self.log()) if (self.folder / "log").exists() else 0
         with open(self.folder / "log", "ab") as log:
             self.node = subprocess.Popen(
                 [sys.executable, "-m", "rushsaddle"], cwd=ROOT, env=env, stdout=log, stderr=log
             )
         if self.files:
             resource.prlimit(self.node.pid, resource.RLIMIT_NOFILE, (self.files, self.files))
+
+    @property
+    def port(self) -> int:
+        return self._ready()[0]
+
+    @property
+    def door(self) -> int:
+        return self._ready()[1]
+
+    def _ready(self) -> tuple[int, int]:
+        """Who speaks first waits for it: a node that asks for its list is ready once that was answered."""
+        assert self.node is not None
         until = time.monotonic() + PATIENCE
         ready = r'"ready","listen":"127.0.0.1:(\d+)","door":"127.0.0.1:(\d+)"'
-        while (found := re.search(ready, self.log()[before:])) is None:
+        while not self._ports[0]:
+            if (found := re.search(ready, self.log()[self._from:])) is not None:
+                self._ports = int(found[1]), int(found[2])
+                break
             assert self.node.poll() is None and time.monotonic() < until, "the node did not start"
             time.sleep(0.01)
-        self.port, self.door = int(found[1]), int(found[2])
+        return self._ports
 
     def configure(self, text: str) -> None:
         (self.folder / "config.json").write_text(text)
@@ -236,6 +253,8 @@
                 self.start()
             case ["node", "ends", code]:
                 assert self.node.wait(PATIENCE) == int(code)
+            case ["node", "has", "not", "said", *text]:  # up to what it has done so far
+                assert " ".join(text) not in self.log()[self._from:], f"said: {' '.join(text)}"
             case ["node", "says", *text]:
                 until = time.monotonic() + PATIENCE
                 while " ".join(text) not in self.log():
