measure.hollow: a run's memory counts what members share once

Need: a run of 5,000 was refused at 26,730 MB, since one member's table with all shared entries was taken for each. Change: the second table of a process counts, which shares with the first.

--- a/measure/hollow.py
+++ b/measure/hollow.py
@@ -411,8 +411,11 @@
 
 
 def needed_mb(size: int, decoded_one_in: int) -> float:
-    """What a run of this size will take, by one member's table in this program."""
-    return RUN_MB + size * float(told(size, decoded_one_in == 1)[1]["table_mb"])
+    """What a run of this size will take: what members share, and one member's own table for each of them."""
+    whole = decoded_one_in == 1
+    # The second shares with the first.
+    shared, own = (float(told(size, whole)[1]["table_mb"]) for _ in range(2))
+    return RUN_MB + shared + size * own
 
 
 def bound_memory(most_mb: float) -> None:
