--- a/measure/hollow.py
+++ b/measure/hollow.py
@@ -125,7 +125,7 @@
         self.row["told_s"] = time.monotonic() - self.began
         quiet = False
         while not quiet and network.now < self.options.settle_s * SECOND:
-            network.mark()
+            self.marked()
             self.step(1.0)
             spent = network.spent
             quiet = sum(spent.layers) < QUIET_BYTES * spent.messages and not network.audit.wrong
