--- a/tests/scale/test_capacity.py
+++ b/tests/scale/test_capacity.py
@@ -122,12 +122,12 @@
     assert capacity.main(["fit", str(into)]) == 0
     assert "| whole_bytes |" in capsys.readouterr().out
     page = tmp_path / "page.md"
-    page.write_text(f"before\n{capacity.MARKS[0]}\nold\n{capacity.MARKS[1]}\nafter\n")
+    page.write_text(f"before\n{capacity.MARKS[0]}\nwhat was there\n{capacity.MARKS[1]}\nafter\n")
     for _ in range(2):  # again over what it has put there
         assert capacity.main(["fit", str(into), "--page", str(page)]) == 0
     text = page.read_text()
     assert text.startswith("before\n") and text.endswith(f"{capacity.MARKS[1]}\nafter\n")
-    assert text.count("| whole_bytes |") == 1 and "old" not in text
+    assert text.count("| whole_bytes |") == 1 and "what was there" not in text
     # A second run of a role takes the place of its rows, and of no other's.
     kept["rows"].append({"role": "other", "size": 1, "seed": 0, "figures": {}})
     into.write_text(json.dumps(kept))
