Capacity fits: memory a job by the median, zeros fitted by zero, sizes beyond those measured told

Worked out rows of running jobs took the slope of the chosen curve for bytes a job, also where the curve is n log n. They take the median of the largest size now. Rows that are all zero were fitted by a denormal, with an infinite error. A size of the plan outside of the measured ones is called extrapolated in the table's head.

--- a/measure/capacity.py
+++ b/measure/capacity.py
@@ -223,11 +223,21 @@
             }
     for name in ("open", "transaction"):
         if name in have:
-            figure, unit = ("open_mb", 2**20) if name == "open" else ("open_bytes", 1)
-            rows[f"running, {name}"] = worked.running(PLAN, found[name, figure].whole.slope * unit)
+            rows[f"running, {name}"] = worked.running(PLAN, each_bytes(kept, name))
     return rows
 
 
+def each_bytes(kept: dict[str, Any], name: str) -> float:
+    """Memory of one open job: the median at the largest size measured.  A fit's slope is none where its form
+    is not a line."""
+    rows = [row for row in kept["rows"] if row["role"] == name]
+    largest = max(row["size"] for row in rows)
+    there = [row["figures"] for row in rows if row["size"] == largest]
+    if name == "open":
+        return float(statistics.median(figures["open_kb_each"] for figures in there)) * 1024
+    return float(statistics.median(figures["open_bytes"] for figures in there)) / largest
+
+
 def show(value: float) -> str:
     return f"{value:,.0f}" if abs(value) >= 1000 else f"{value:.3g}"
 
@@ -238,11 +248,14 @@
     for name, run in kept["runs"].items():
         sizes = sorted({row["size"] for row in kept["rows"] if row["role"] == name})
         seeds = len({row["seed"] for row in kept["rows"] if row["role"] == name})
+        named = ROLES[name].named
+        beyond = "below" if named < sizes[0] else "above" if named > sizes[-1] else ""
         lines += [
             "", f"### {name}, by {run['size']}", "",
             f"`{run['command']}`: {seeds} seeds, {run['beside']} rows at once, {run['seconds']:.0f} s", "",
             "| figure | " + " | ".join(map(show, sizes))
-            + f" | fit without the largest | predicted | error, % | at {show(ROLES[name].named)} |",
+            + f" | fit without the largest | predicted | error, % | at {show(named)}"
+            + (f", extrapolated {beyond} the sizes |" if beyond else " |"),
             "| --- " * (len(sizes) + 5) + "|",
         ]
         for (role, figure), seen in found.items():
--- a/measure/slopes.py
+++ b/measure/slopes.py
@@ -92,6 +92,12 @@
     def line(x: Any, base: float, slope: float) -> Any:
         return base + slope * x
 
+    if not any(ys):  # the solver would step off zero by a denormal, of which any error is infinite
+        return Fit(
+            form, 0.0, 0.0, 0.0, 0.0, _aicc(0.0, 0.0, len(points), parameters), 0.0, len(points) - parameters,
+            ((0.0, 0.0), (0.0, 0.0)),
+        )
+
     with warnings.catch_warnings():  # points that lie on the curve exactly have no spread to tell
         warnings.simplefilter("ignore", OptimizeWarning)
         found, covariance = curve_fit(flat if parameters == 1 else line, _array(xs), _array(ys))
--- a/tests/scale/test_capacity.py
+++ b/tests/scale/test_capacity.py
@@ -10,6 +10,7 @@
 from contextlib import suppress
 from dataclasses import replace
 from functools import partial
+from math import log2
 from pathlib import Path
 from subprocess import Popen
 
@@ -218,6 +219,33 @@
     assert held["a_node"] == held["a_node_mb"] == pytest.approx(19.6) and held["all_mb"] == 98_000
 
 
+def made_open(name: str) -> dict[str, object]:
+    """Rows of jobs whose memory grows by n log n: 20 KB each at 2,000."""
+    rows = []
+    for size in (125, 250, 500, 1000, 2000):
+        held = size * log2(size) * 20_480 / log2(2000)
+        figures = {"open_bytes": held} if name == "transaction" else {
+            "open_mb": held / 2**20, "open_kb_each": held / size / 1024,
+        }
+        rows += [{"role": name, "size": size, "seed": seed, "figures": figures} for seed in range(3)]
+    run = {"command": "made", "size": "jobs open", "beside": 1, "seconds": 1.0}
+    return {"runs": {name: run}, "rows": rows}
+
+
+@pytest.mark.parametrize("name", ["open", "transaction"])
+def test_memory_of_running_jobs_is_that_of_one_job_whatever_the_curve(name: str) -> None:
+    kept = made_open(name)
+    found = capacity.verdicts(kept)
+    assert found[name, "open_mb" if name == "open" else "open_bytes"].fit.form == "n log n"
+    row = capacity.worked_out(kept, found)[f"running, {name}"]
+    assert row["all_mb"] == pytest.approx(worked.Plan().running * 20_480 / 2**20, rel=1e-6)
+
+
+def test_a_size_of_the_plan_that_lies_beyond_those_measured_is_told() -> None:
+    for name, told in (("open", "at 19, extrapolated below"), ("transaction", "at 98,000, extrapolated above")):
+        assert f"| {told} the sizes |" in "\n".join(capacity.tables(made_open(name)))
+
+
 def test_a_run_that_is_stopped_leaves_no_process_of_its_own(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
 ) -> None:
--- a/tests/scale/test_slopes.py
+++ b/tests/scale/test_slopes.py
@@ -76,3 +76,11 @@
 def test_a_figure_that_is_nothing_everywhere_has_no_error() -> None:
     found = judge([(n, 0.0) for n in SIZES], 5000)
     assert found.fit.form == "flat" and found.error_percent == 0.0
+
+
+def test_a_figure_that_is_nothing_in_every_row_is_fitted_by_nothing() -> None:
+    found = judge([(n, 0.0) for n in SIZES for _ in range(3)], 5000)
+    assert found.fit.form == "flat" and found.error_percent == 0.0
+    for fit in (found.fit, found.whole):
+        assert (fit.base, fit.base_half, fit.slope, fit.at(5000), fit.half_at(5000)) == (0.0,) * 5
+    assert (found.predicted, found.extrapolated, found.extrapolated_half) == (0.0, 0.0, 0.0)
