--- a/tests/scale/test_capacity.py
+++ b/tests/scale/test_capacity.py
@@ -242,7 +242,9 @@
 
 
 def test_a_size_of_the_plan_that_lies_beyond_those_measured_is_told() -> None:
-    for name, told in (("open", "at 19, extrapolated below"), ("transaction", "at 98,000, extrapolated above")):
+    for name, told in (
+        ("open", "at 19, extrapolated below"), ("transaction", "at 98,000, extrapolated above"),
+    ):
         assert f"| {told} the sizes |" in "\n".join(capacity.tables(made_open(name)))
 
 
