--- a/measure/capacity.py
+++ b/measure/capacity.py
@@ -231,7 +231,7 @@
     """Memory of one open job: the median at the largest size measured.  A fit's slope is none where its form
     is not a line."""
     rows = [row for row in kept["rows"] if row["role"] == name]
-    largest = max(row["size"] for row in rows)
+    largest: int = max(row["size"] for row in rows)
     there = [row["figures"] for row in rows if row["size"] == largest]
     if name == "open":
         return float(statistics.median(figures["open_kb_each"] for figures in there)) * 1024
