measure.hollow_report: tables and a chart of the program before and after, out of kept rows

Need: rows of members are kept in one file, before and after; runs that did not end must not get into medians.

--- a/measure/hollow_report.py
+++ b/measure/hollow_report.py
@@ -1,13 +1,40 @@
-"""Rows of hollow runs as tables of Markdown and as a chart."""
+"""Rows of hollow runs as tables of Markdown and as a chart.
+
+    python -m measure.hollow_report [docs/measured/capacity-members.json] [--chart FILE]
+
+The file has ``runs`` by name (command, program, delays) and the rows ``before`` and ``after``, each with the
+name of its ``run``.  A row that has not ended counts in no median; where none has, its figures are told as
+partial.
+"""
 
 from __future__ import annotations
 
+import argparse
+import json
 import statistics
-from collections.abc import Sequence
+import sys
+from collections.abc import Iterator, Sequence
+from pathlib import Path
 from typing import Any
 
 Row = dict[str, Any]
 
+FILE = Path(__file__).parent.parent / "docs" / "measured" / "capacity-members.json"
+TIMES = {
+    "quiet": (),
+    "join": ("known_999_s", "all_s", "known_by_all_s"),
+    "cold": ("known_999_s", "all_s"),
+    "kill": ("found_median_s", "found_99_s"),
+    "restart": ("whole_s", "known_by_all_s"),
+    "rack": ("dead_99_s", "dead_all_s"),
+    "zone": ("dead_99_s", "dead_all_s"),
+    "region": ("known_999_s", "whole_s", "resurrected"),
+}
+COMMON = ("wrongly_dead", "bytes_s", "worst_sent_s", "worst_received_s", "worst_both_s", "worst_seed_both_s",
+          "datagrams_s", "cpu_ms_s", "stall_ms")
+CHARTS = (("quiet", "bytes_s"), ("cold", "worst_both_s"), ("region", "worst_both_s"), ("quiet", "cpu_ms_s"),
+          ("cold", "all_s"), ("join", "known_by_all_s"), ("zone", "dead_99_s"), ("region", "whole_s"))
+
 
 def show(rows: Sequence[Row], of: str) -> None:
     """Medians with least and most, of the runs that reached it; how many did not stands beside."""
@@ -61,3 +88,91 @@
         axis.legend(loc="best")
     figure.tight_layout()
     figure.savefig(file, dpi=120)
+
+
+def groups(kept: Row, scenario: str) -> Iterator[tuple[str, int, str, list[Row]]]:
+    """Program, members and run with its rows, the smallest first."""
+    for program in ("before", "after"):
+        rows = [row for row in kept[program] if row["scenario"] == scenario]
+        for members, run in sorted({(row["members"], row["run"]) for row in rows}):
+            yield program, members, run, [r for r in rows if (r["members"], r["run"]) == (members, run)]
+
+
+def cell(rows: Sequence[Row], key: str) -> str:
+    """The median with least and most of the runs that ended, or of the others as partial."""
+    ended = [row for row in rows if row["ended"]]
+    values = [row[key] for row in ended or rows if row.get(key) is not None]
+    if not values:
+        return "not within limit" if ended else "not ended"
+
+    def told(value: float) -> str:
+        return f"{value:,.0f}" if abs(value) >= 1000 else f"{value:.3g}"
+
+    text = told(statistics.median(values))
+    if min(values) != max(values):
+        text += f" ({told(min(values))} to {told(max(values))})"
+    if late := len(ended) - len(values) if ended else 0:
+        text += f", not within limit: {late}"
+    return text if ended else f"partial: {text}"
+
+
+def tables(kept: Row) -> list[str]:
+    lines = []
+    for scenario, times in TIMES.items():
+        found = list(groups(kept, scenario))
+        if not found:
+            continue
+        keys = (*times, *COMMON)
+        lines += ["", f"### {scenario}", "", f"| program | members | run | runs | {' | '.join(keys)} |",
+                  "| --- " * (4 + len(keys)) + "|"]
+        for program, members, run, rows in found:
+            late = sum(not row["ended"] for row in rows)
+            count = f"{len(rows)}" + (f", {late} not ended" if late else "")
+            cells = " | ".join(cell(rows, key) for key in keys)
+            lines.append(f"| {program} | {members:,} | {run} | {count} | {cells} |")
+    return lines
+
+
+def chart(kept: Row, file: Path) -> None:
+    """Before and after, against members; a run that did not end or get there stands at the top as a cross."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(2, len(CHARTS) // 2, figsize=(3.4 * len(CHARTS) // 2, 6.8))
+    for axis, (scenario, key) in zip(axes.flat, CHARTS, strict=True):
+        for program, colour in (("before", "tab:gray"), ("after", "tab:blue")):
+            rows = [row for row in kept[program] if row["scenario"] == scenario]
+            there = [(r["members"], r[key]) for r in rows if r["ended"] and r.get(key) is not None]
+            late = [r["members"] for r in rows if not r["ended"] or r.get(key) is None]
+            sizes = sorted({x for x, _ in there})
+            axis.plot([x for x, _ in there], [y for _, y in there], "o", ms=4, color=colour, label=program)
+            axis.plot(sizes, [statistics.median([y for x, y in there if x == size]) for size in sizes],
+                      color=colour)
+            axis.plot(late, [0.97] * len(late), "x", color=colour, transform=axis.get_xaxis_transform())
+        axis.set_title(f"{scenario}: {key}")
+        axis.set_xscale("log")
+        axis.set_xlabel("members (x: not ended, or not in time)")
+        axis.set_ylim(bottom=0)
+        axis.legend(fontsize=7)
+    figure.tight_layout()
+    figure.savefig(file, dpi=90)
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
+    parser.add_argument("file", type=Path, nargs="?", default=FILE)
+    parser.add_argument("--chart", type=Path)
+    told = parser.parse_args(argv)
+    kept = json.loads(told.file.read_text())
+    print("\n".join(tables(kept)))
+    if told.chart:
+        chart(kept, told.chart)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
