--- a/measure/hollow_report.py
+++ b/measure/hollow_report.py
@@ -32,8 +32,13 @@
 }
 COMMON = ("wrongly_dead", "bytes_s", "worst_sent_s", "worst_received_s", "worst_both_s", "worst_seed_both_s",
           "datagrams_s", "cpu_ms_s", "stall_ms")
-CHARTS = (("quiet", "bytes_s"), ("cold", "worst_both_s"), ("region", "worst_both_s"), ("quiet", "cpu_ms_s"),
-          ("cold", "all_s"), ("join", "known_by_all_s"), ("zone", "dead_99_s"), ("region", "whole_s"))
+# Scenario, figure, and the bound of the plan for it.
+CHARTS = (
+    ("quiet", "bytes_s", 1_000.0), ("cold", "worst_both_s", 8_000.0), ("zone", "worst_both_s", 8_000.0),
+    ("quiet", "cpu_ms_s", 10.0), ("cold", "all_s", 60.0), ("join", "known_by_all_s", 10.0),
+    ("zone", "dead_99_s", 10.0), ("region", "whole_s", 60.0),
+)
+COLOURS = ("tab:gray", "tab:orange", "tab:blue", "tab:green")
 
 
 def show(rows: Sequence[Row], of: str) -> None:
@@ -134,25 +139,37 @@
 
 
 def chart(kept: Row, file: Path) -> None:
-    """Before and after, against members; a run that did not end or get there stands at the top as a cross."""
+    """Each program and delay against members; a run that did not end or get there stands at the top as a
+    cross, and the bound is a dotted line."""
     import matplotlib
 
     matplotlib.use("Agg")
     from matplotlib import pyplot
 
+    rows = [
+        row | {"series": "{}, {} to {} ms".format(program, *kept["runs"][row["run"]]["between_ms"])}
+        for program in ("before", "after") for row in kept[program]
+    ]
+    names = list(dict.fromkeys(row["series"] for row in rows))
     figure, axes = pyplot.subplots(2, len(CHARTS) // 2, figsize=(3.4 * len(CHARTS) // 2, 6.8))
-    for axis, (scenario, key) in zip(axes.flat, CHARTS, strict=True):
-        for program, colour in (("before", "tab:gray"), ("after", "tab:blue")):
-            rows = [row for row in kept[program] if row["scenario"] == scenario]
-            there = [(r["members"], r[key]) for r in rows if r["ended"] and r.get(key) is not None]
-            late = [r["members"] for r in rows if not r["ended"] or r.get(key) is None]
+    for axis, (scenario, key, bound) in zip(axes.flat, CHARTS, strict=True):
+        shown: set[int] = set()
+        for name, colour in zip(names, COLOURS, strict=False):
+            of = [row for row in rows if (row["scenario"], row["series"]) == (scenario, name)]
+            there = [(r["members"], r[key]) for r in of if r["ended"] and r.get(key) is not None]
+            late = [r["members"] for r in of if not r["ended"] or r.get(key) is None]
+            shown |= {r["members"] for r in of}
             sizes = sorted({x for x, _ in there})
-            axis.plot([x for x, _ in there], [y for _, y in there], "o", ms=4, color=colour, label=program)
+            if of:
+                axis.plot([x for x, _ in there], [y for _, y in there], "o", ms=4, color=colour, label=name)
             axis.plot(sizes, [statistics.median([y for x, y in there if x == size]) for size in sizes],
                       color=colour)
             axis.plot(late, [0.97] * len(late), "x", color=colour, transform=axis.get_xaxis_transform())
+        axis.axhline(bound, ls=":", color="red", label="bound")
         axis.set_title(f"{scenario}: {key}")
         axis.set_xscale("log")
+        axis.set_xticks(sorted(shown), [str(size) for size in sorted(shown)], fontsize=7)
+        axis.minorticks_off()
         axis.set_xlabel("members (x: not ended, or not in time)")
         axis.set_ylim(bottom=0)
         axis.legend(fontsize=7)
--- a/tests/scale/test_hollow_report.py
+++ b/tests/scale/test_hollow_report.py
@@ -40,7 +40,8 @@
     tmp_path: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
     before = [row(100, 0, 9.0, run="near"), row(100, 0, 70.0, run="far")]
-    kept = {"before": before, "after": [row(100, 0, 2.0)]}
+    runs = {name: {"between_ms": [1, 2]} for name in ("near", "far", "a")}
+    kept = {"runs": runs, "before": before, "after": [row(100, 0, 2.0)]}
     file, chart = tmp_path / "rows.json", tmp_path / "chart.png"
     file.write_text(json.dumps(kept))
     assert hollow_report.main([str(file), "--chart", str(chart)]) == 0
