--- a/measure/coldstart.py
+++ b/measure/coldstart.py
@@ -19,6 +19,7 @@
 import tempfile
 import time
 from collections import Counter
+from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -111,6 +112,24 @@
     }
 
 
+def played(
+    sizes: Sequence[int], rounds: int, one: Callable[[int], dict[str, float]]
+) -> list[dict[str, float]]:
+    """The rows of so many rounds of each size, shown as they come; a size that does not fit here has none."""
+    kept: list[dict[str, float]] = []
+    for count in sizes:
+        if memory_free_mb() < count * NODE_MB or count > 50 * (os.cpu_count() or 1):
+            print(f"{count} nodes: not enough memory or cores here", file=sys.stderr)
+            continue
+        rows = []
+        for _ in range(rounds):
+            rows.append(one(count))
+            print(json.dumps(rows[-1]), file=sys.stderr, flush=True)
+        show(rows, None)
+        kept += rows
+    return kept
+
+
 def main() -> int:
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
     parser.add_argument("--nodes", type=int, nargs="+", default=[20, 60, 200])
@@ -127,17 +146,7 @@
     if told.copies and (told.alone or told.before):
         parser.error("--copies: only with members")
     room_for_descriptors()
-    kept: list[dict[str, float]] = []
-    for count in told.nodes:
-        if memory_free_mb() < count * NODE_MB or count > 50 * (os.cpu_count() or 1):
-            print(f"{count} nodes: not enough memory or cores here", file=sys.stderr)
-            continue
-        rows = []
-        for _ in range(told.rounds):
-            rows.append(one(count, told))
-            print(json.dumps(rows[-1]), file=sys.stderr, flush=True)
-        show(rows, None)
-        kept += rows
+    kept = played(told.nodes, told.rounds, lambda count: one(count, told))
     if told.json:
         Path(told.json).write_text(json.dumps(kept) + "\n")
     return 0
--- a/measure/upgrade.py
+++ b/measure/upgrade.py
@@ -13,7 +13,6 @@
 
 import argparse
 import json
-import os
 import sys
 import tempfile
 import time
@@ -21,9 +20,8 @@
 from pathlib import Path
 from typing import Any
 
-from .coldstart import NODE_MB, memory_free_mb
+from .coldstart import played
 from .rig import Fleet, room_for_descriptors
-from .table import show
 
 WHOLE_S = 60.0  # the longest that a fleet may take to know each other again; beyond, the row says lost
 
@@ -114,17 +112,7 @@
     parser.add_argument("--json")
     told = parser.parse_args()
     room_for_descriptors()
-    kept: list[dict[str, float]] = []
-    for count in told.nodes:
-        if memory_free_mb() < count * NODE_MB or count > 50 * (os.cpu_count() or 1):
-            print(f"{count} nodes: not enough memory or cores here", file=sys.stderr)
-            continue
-        rows = []
-        for _ in range(told.rounds):
-            rows.append(one(count, told.before, told.back))
-            print(json.dumps(rows[-1]), file=sys.stderr, flush=True)
-        show(rows, None)
-        kept += rows
+    kept = played(told.nodes, told.rounds, lambda count: one(count, told.before, told.back))
     if told.json:
         Path(told.json).write_text(json.dumps(kept) + "\n")
     return int(any(row["lost"] or row["dead in the logs"] or row["bad ends"] for row in kept))
