Log and count why requests are closed, slow decision steps and late timers

Need: in the incident nothing in the log or the figures showed that the event loop ran seconds late, nor why a request was closed. Measured: tests of door, lifecycle, exchanges pass (66).

--- a/measure/roles.py
+++ b/measure/roles.py
@@ -25,6 +25,7 @@
 from rushsaddle.core.log import Log
 from rushsaddle.core.loop import Clock, Loop
 from rushsaddle.core.names import Names
+from rushsaddle.core.stalls import Stalls
 from rushsaddle.core.tally import Tally
 from rushsaddle.core.transaction import Branch, Job, Transaction
 from rushsaddle.limits.build import build
@@ -286,7 +287,7 @@
     subject = Dispatcher(settings, seed)
     decider = Decider(
         loop, log, subject, settings.tick_us, settings.limits.max_attempts, broken,
-        Tally(len(settings.classes)),
+        Tally(len(settings.classes)), Stalls(log, clock.now_us),
     )
     decider.hops = carrier
     subject.step(0, [WorkerList(ListKind.COMPLETE, entries(WORKERS_OPEN), 1)])
--- a/rushsaddle/admin/figures.py
+++ b/rushsaddle/admin/figures.py
@@ -4,17 +4,26 @@
 
 from collections.abc import Sequence
 
+from ..core.stalls import Stalls
 from ..core.tally import Tally
 
 END = "--"
 
 
-def lines(tally: Tally, class_names: Sequence[str], listed: int, avoided: int) -> list[str]:
+def lines(
+    tally: Tally, stalls: Stalls, class_names: Sequence[str], listed: int, avoided: int
+) -> list[str]:
     """Every figure, each class from the start on; ``listed`` next hops, ``avoided`` of them left out."""
     found = []
     for name, counts in zip(class_names, tally.classes, strict=True):
         for figure in ("answered", "deferred", "errored"):
             found.append(f"node.transactions.{name}.{figure}:{getattr(counts, figure)}|c")
+    found += [f"node.closed.{reason.value}:{count}|c" for reason, count in tally.closed.items()]
+    found += [
+        f"node.loop.slow_steps:{stalls.slow_steps}|c", f"node.loop.late_timers:{stalls.late_timers}|c",
+        f"node.loop.longest_step_us:{stalls.longest_step_us}|g",
+        f"node.loop.latest_timer_us:{stalls.latest_timer_us}|g",
+    ]
     found += [
         f"node.sends:{tally.sends}|c", f"node.current:{tally.current}|g", f"node.cluster_size:{listed}|g",
         f"node.cluster_unhealthy:{avoided}|g", END,
--- a/rushsaddle/core/decider.py
+++ b/rushsaddle/core/decider.py
@@ -33,6 +33,7 @@
 
 from .log import Log as EventLog
 from .loop import Coroutine, Loop, Task, Wait
+from .stalls import Stalls
 from .tally import Tally
 from .transaction import Answer, Branch, Job, Transaction, Verdict
 
@@ -48,7 +49,7 @@
 class Decider:
     def __init__(
         self, loop: Loop, log: EventLog, dispatcher: Dispatcher, tick_us: int, max_attempts: int,
-        on_fault: Callable[[], None], tally: Tally,
+        on_fault: Callable[[], None], tally: Tally, stalls: Stalls,
     ) -> None:
         self.loop = loop
         self.log = log
@@ -57,6 +58,7 @@
         self.max_attempts = max_attempts
         self.on_fault = on_fault  # the decisions are broken: the node cannot go on
         self.tally = tally
+        self.stalls = stalls
         self.hops: Hops | None = None
         self.subscribe: Callable[[], None] = lambda: None
         self.tell: Callable[[str], None] = lambda text: None  # a word for the other nodes
@@ -149,7 +151,9 @@
             events.append(item_event)
         while self._timers and self._timers[0][0] <= now:
             events.append(TimerFired(heapq.heappop(self._timers)[1]))
-        for action in self.dispatcher.step(now, events):
+        actions = self.dispatcher.step(now, events)
+        self.stalls.step(self.loop.now_us() - now, len(events))
+        for action in actions:
             if isinstance(action, Refuse | Fail):
                 touched.add(action.request)
             self._act(action, now)
@@ -165,14 +169,16 @@
         if isinstance(action, Send):
             self._send(action, now)
         elif isinstance(action, Refuse):
-            self._finish(action.request, Answer(Verdict.BUSY, retry_after_us=action.retry_after_us))
+            busy = Answer(Verdict.BUSY, retry_after_us=action.retry_after_us, reason=action.reason)
+            self._finish(action.request, busy)
         elif isinstance(action, Fail):
             transaction = self.transactions.get(action.request)
             late = transaction is not None and now >= transaction.deadline_us - 2 * self.tick_us
             unfit = transaction is not None and any(
                 b.outcome is Outcome.REJECTED for b in transaction.branches
             )
-            self._finish(action.request, Answer(Verdict.FAILED, late=late, unfit=unfit))
+            failed = Answer(Verdict.FAILED, late=late, unfit=unfit, reason=action.reason)
+            self._finish(action.request, failed)
         elif isinstance(action, Cancel):
             transaction = self.transactions.get(action.request)
             if transaction is not None and 0 <= action.attempt < len(transaction.branches):
--- a/rushsaddle/core/loop.py
+++ b/rushsaddle/core/loop.py
@@ -61,6 +61,7 @@
     def __init__(self, clock: Clock, on_error: Callable[[BaseException], None]) -> None:
         self.now_us = clock.now_us
         self.on_error = on_error  # told of an exception that ended a coroutine
+        self.on_late: Callable[[int], None] = lambda late_us: None  # told how late a turn's timers are
         self.stopped = False
         self._epoll = select.epoll()
         self._masks: dict[int, int] = {}  # what epoll watches
@@ -105,10 +106,14 @@
                 self._epoll.unregister(fd)  # nobody waits for it: it would be told again each turn
         now = self.now_us()
         timers = self._timers
+        late = 0
         while timers and timers[0][0] <= now:
-            _, _, task, number = heapq.heappop(timers)
+            due, _, task, number = heapq.heappop(timers)
             if number == task.round:
+                late = max(late, now - due)
                 self.wake(task)
+        if late:
+            self.on_late(late)
         runnable, self._runnable = self._runnable, deque()
         for task, mask in runnable:
             task.queued = False
--- a/rushsaddle/core/tally.py
+++ b/rushsaddle/core/tally.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from tansygw.interface import CloseReason
+
 from .transaction import Transaction, Verdict
 
 
@@ -24,6 +26,7 @@
     def __init__(self, classes: int) -> None:
         self.classes = [ClassTally() for _ in range(classes)]
         self.sends = 0  # attempts written whole to next hops
+        self.closed = dict.fromkeys(CloseReason, 0)  # requests closed without a server's answer
 
     @property
     def current(self) -> int:
@@ -39,6 +42,8 @@
     def over(self, transaction: Transaction) -> None:
         """A transaction has its one final answer, or its caller has left."""
         answer = transaction.answer
+        if answer is not None and answer.reason is not None:
+            self.closed[answer.reason] += 1
         self._end(transaction.job.cls, answer.verdict if answer is not None else None)
 
     def early(self, cls: int, status: int) -> None:
--- a/rushsaddle/core/transaction.py
+++ b/rushsaddle/core/transaction.py
@@ -14,6 +14,7 @@
     ANY_TERMS,
     AttemptEnded,
     AttemptNote,
+    CloseReason,
     Earlier,
     Event,
     Outcome,
@@ -36,6 +37,7 @@
     retry_after_us: int = 0
     late: bool = False  # FAILED: the time was up
     unfit: bool = False  # FAILED: a next hop found the request itself at fault
+    reason: CloseReason | None = None  # why it was closed without a server's answer
 
 
 @dataclass(slots=True, frozen=True)
--- a/rushsaddle/net/caller.py
+++ b/rushsaddle/net/caller.py
@@ -473,6 +473,7 @@
         self.log.event(
             "transaction", id=transaction.name, cls=transaction.job.cls,
             answer=answer.verdict.value if answer is not None else "gone",
+            reason=answer.reason.value if answer is not None and answer.reason is not None else None,
             ms=(self.loop.now_us() - transaction.received_us) // 100 / 10,
             branches=[
                 [b.worker, b.outcome.value if b.outcome is not None else "out",
--- a/rushsaddle/node.py
+++ b/rushsaddle/node.py
@@ -25,6 +25,7 @@
 from .core.log import Log
 from .core.loop import Clock, Coroutine, Loop, Wait
 from .core.names import Address
+from .core.stalls import Stalls
 from .core.tally import Tally
 from .net import listener
 from .net.caller import Callers, Class
@@ -97,11 +98,13 @@
 
             self.log = StructuredLog(told.name, clock.now_us, self.operator.log.format == "text")
         self.loop = Loop(clock, lambda error: self.log.error("a connection's code failed", error))
+        self.stalls = Stalls(self.log, clock.now_us)
+        self.loop.on_late = self.stalls.timer
         self.life = Lifecycle()
         self.tally = Tally(len(settings.classes))
         self.decider = Decider(
             self.loop, self.log, Dispatcher(settings, told.seed), settings.tick_us, limits.max_attempts,
-            self.fault, self.tally,
+            self.fault, self.tally, self.stalls,
         )
         budget = _budget(told.sockets)
         connect_us = limits.connect_timeout_us or 250_000
@@ -222,7 +225,8 @@
         from .admin.door import Door
 
         def lines() -> list[str]:
-            return figures.lines(self.tally, self.told.class_names, *self.decider.dispatcher.census())
+            census = self.decider.dispatcher.census()
+            return figures.lines(self.tally, self.stalls, self.told.class_names, *census)
 
         listen = listener.opened(address)
         Door(self.loop, self.log, self.life, lines).listen(listen)
--- a/tansygw/decide.py
+++ b/tansygw/decide.py
@@ -25,6 +25,7 @@
     Cancel,
     Check,
     CheckResult,
+    CloseReason,
     DedupGroup,
     Effect,
     Event,
@@ -806,8 +807,10 @@
                 continue
             chance = self._in_time(request)
             hopeless = request.info.late_value <= 0.0 and chance < GIVE_UP and request.may_refuse()
-            if hopeless or request.expired(self.now, self.settings):
-                self._answer(request)
+            if hopeless:
+                self._answer(request, CloseReason.NOT_IN_TIME)
+            elif request.expired(self.now, self.settings):
+                self._answer(request, CloseReason.REPEAT_WINDOW_OVER)
             else:
                 held.append((self._rank(request, chance), request))
         held.sort(key=itemgetter(0))
@@ -850,18 +853,18 @@
         wait = max(self.settings.tick_us, int(self.busy_us / 2), open_at - self.now)
         return min(wait, limits.max_retry_after_us or wait)
 
-    def _answer(self, request: Request) -> None:
+    def _answer(self, request: Request, reason: CloseReason) -> None:
         """No further attempt: the final answer, a refusal where it is legal and the client has time left."""
         if request.may_refuse() and self.now < request.deadline - self.settings.tick_us:
-            self.actions.append(Refuse(request.id, self._come_back()))
+            self.actions.append(Refuse(request.id, self._come_back(), reason))
         else:
-            self.actions.append(Fail(request.id))
+            self.actions.append(Fail(request.id, reason))
         self.class_turned[request.cls] = self.now
         self._close(request)
 
-    def _deadline(self, request: Request) -> None:
+    def _deadline(self, request: Request, reason: CloseReason = CloseReason.DEADLINE) -> None:
         if not request.streaming:
-            self.actions.append(Fail(request.id))
+            self.actions.append(Fail(request.id, reason))
             self.class_turned[request.cls] = self.now
             self._close(request)
 
@@ -1054,7 +1057,7 @@
             return
         unfit = outcome is Outcome.REJECTED and request.out == 0
         if unfit or now >= request.deadline - self.settings.tick_us:
-            self._deadline(request)
+            self._deadline(request, CloseReason.REJECTED if unfit else CloseReason.DEADLINE)
         elif request.out == 0:
             self._again(request, attempt)
 
@@ -1069,7 +1072,7 @@
             if attempt.outcome in NEVER_RAN and not request.expired(self.now, self.settings):
                 self._hold(request)
                 return
-        self._answer(request)
+        self._answer(request, CloseReason.ATTEMPTS_USED)
 
     def _on_gone(self, event: RequestGone) -> None:
         request = self.requests.get(event.request)
--- a/tansygw/interface.py
+++ b/tansygw/interface.py
@@ -321,12 +321,23 @@
     begin_by_us: int | None = None  # later it must not be written: a repeat would no longer be dropped
 
 
+class CloseReason(StrEnum):
+    """Why a request was closed without a server's answer."""
+
+    DEADLINE = "deadline"
+    REJECTED = "rejected_by_server"
+    ATTEMPTS_USED = "attempts_used"
+    NOT_IN_TIME = "not_in_time"
+    REPEAT_WINDOW_OVER = "repeat_window_over"
+
+
 @dataclass(slots=True)
 class Refuse:
     """Final answer: no, and a new try does no harm."""
 
     request: int
     retry_after_us: int = 0
+    reason: CloseReason = CloseReason.ATTEMPTS_USED
 
 
 @dataclass(slots=True)
@@ -334,6 +345,7 @@
     """Final answer: failed, with no promise about effects."""
 
     request: int
+    reason: CloseReason = CloseReason.DEADLINE
 
 
 @dataclass(slots=True)
