--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -11,6 +11,8 @@
 
 from .play import Player
 
+pytest_plugins = ["tests.known_red_plugin", "pytester"]
+
 
 @pytest.fixture
 def site(tmp_path: Path) -> Iterator[Site]:
--- /dev/null
+++ b/tests/test_many_servers.py
@@ -0,0 +1,39 @@
+"""Fleets of thousands of servers, on a real process."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import fields
+
+import pytest
+
+from measure.many_servers import Play, allowed, play
+
+USUAL, MANY = 200, 3200
+
+
+@pytest.fixture(scope="module")
+def usual(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Play]:
+    yield play(USUAL, tmp_path_factory.mktemp("usual"))
+
+
+@pytest.fixture(scope="module")
+def many(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Play]:
+    yield play(MANY, tmp_path_factory.mktemp("many"))
+
+
+# Requests got no answer while thousands of servers were replaced: each selection cost their number squared.
+def test_every_request_is_answered_while_half_of_3200_servers_are_replaced(many: Play) -> None:
+    assert many.lost == 0
+    assert many.late_sends == []
+
+
+def test_what_a_node_needs_with_3200_servers_is_within_the_stated_bounds(usual: Play, many: Play) -> None:
+    bound = allowed(usual.usage, MANY)
+    for figure in fields(many.usage):
+        needed, most = getattr(many.usage, figure.name), getattr(bound, figure.name)
+        assert needed <= most, f"{figure.name}: {needed}, {most} allowed"
+
+
+def test_the_share_served_with_3200_servers_is_not_under_0_85_of_the_usual(usual: Play, many: Play) -> None:
+    assert many.served / len(many.replies) >= 0.85 * usual.served / len(usual.replies)
