Slow start: find the least known slots once, not for each candidate of each draw

Cause: Dispatcher._cold_room listed the totals of all ready servers for every candidate in slow start that had reported none, so a draw cost servers times servers in slow start: 497 ms with 3,200, half of them new. Change: the least is kept until a report or a list changes it, the same value.

--- a/tansygw/decide.py
+++ b/tansygw/decide.py
@@ -219,6 +219,7 @@
         self.actions: list[Action] = []
         self.workers: dict[str, Worker] = {}
         self.ready: list[Worker] = []
+        self._least_total: float | None = None  # of ``ready``, the least T_j known; None: not worked out
         self.requests: dict[int, Request] = {}
         self.held: list[Request] = []  # nobody may get them yet
         self.due: list[tuple[int, int, Callable[[Any], None], Any]] = []
@@ -346,6 +347,7 @@
             for worker in self.workers.values():
                 if worker.name not in named:
                     worker.ready = worker.listed = False
+        self._least_total = None
         self.ready = [w for w in self.workers.values() if w.ready]
         if not self.arrivals:
             self.last_arrival = self.now  # the silence before the first request counts from the start
@@ -393,6 +395,7 @@
     def _learn(self, worker: Worker, report: Report | None) -> None:
         if report is None:
             return
+        self._least_total = None
         seen = worker.seen
         new = worker.learn(report, self.now, self.spacing)
         self.changed = self.changed or new
@@ -624,14 +627,19 @@
         if worker.cold_paid is None:  # told all at once, dispatchers must not all begin at once
             worker.cold_paid = self.now
             worker.cold_credit = -self.random.random() * self.busy_us
-        totals = [w.total for w in self.ready if w.total]
-        slots = worker.total or (min(totals) if totals else 1.0)
+        slots = worker.total or self._slots_at_least()
         rate = COLD_BUDGET * rules.fall_multiple * share * slots * self.part
         credit = worker.cold_credit + rate * (self.now - worker.cold_paid)
         worker.cold_credit = min(credit, rate * rules.fall_us / 2)
         worker.cold_paid = self.now
         return worker.cold_credit > 0
 
+    def _slots_at_least(self) -> float:
+        """The slots of a server that has reported none: the fewest of all, so as not to push it over."""
+        if self._least_total is None:
+            self._least_total = min((w.total for w in self.ready if w.total), default=1.0)
+        return self._least_total
+
     def _wanted(self, cls: int) -> dict[int, float]:
         """A machine kind has less free room than a class bound to it and worth more for its time takes up:
         the share of its room that this class may still count on there."""
