Thousands of servers: each node works with a stable subset of them

Callers of a node with 3,200 servers waited behind selections of 20 ms and more each; 3,239 connections and 2,044 descriptors went to first probes. Cause: each draw, look at our part and probe schedule went through every ready server, and every server that was new was probed within two seconds. Change: tansygw/subset.py: above 256 servers a node uses those next to its place on a ring, at least 16 nodes to a server, of each kind a part; it probes 256 of them; a repeat that only one cell would know goes to any server of that cell. Up to 256 servers nothing changes.

--- a/tansygw/decide.py
+++ b/tansygw/decide.py
@@ -56,6 +56,7 @@
 from .pace import Pace
 from .peers import Peers
 from .settings import check
+from .subset import SUBSET_LEAST, ServerPool
 from .worker import PACE_KEEP, Worker, number
 
 # ---- named constants, all without dimension; times come from the settings or from what is observed
@@ -178,6 +179,14 @@
                 return False
         return not self.expired(now, settings)
 
+    def repeat_cell(self) -> int | None:
+        """The cell whose servers alone would know one more attempt as a repeat; None where any will do."""
+        if self.effect is not Effect.DEDUP or self.info.group is not DedupGroup.CELL:
+            return None
+        cells = [e.cell for e in self.earlier]
+        cells += [a.worker.cell for a in self.attempts if a.outcome not in NEVER_RAN]
+        return cells[0] if cells else None
+
     def expired(self, now: int, settings: Settings) -> bool:
         """It may have run, and the time in which a repeat does no harm is over."""
         by = self.begin_by(settings)
@@ -218,7 +227,9 @@
         self.now = 0
         self.actions: list[Action] = []
         self.workers: dict[str, Worker] = {}
-        self.ready: list[Worker] = []
+        self.ready: list[Worker] = []  # those that we work with
+        self.pool = ServerPool(settings.rank, settings.group_size, any(c.kind >= 0 for c in settings.classes))
+        self.probed: dict[Worker, None] = {}  # of ``ready``, those that are probed
         self._least_total: float | None = None  # of ``ready``, the least T_j known; None: not worked out
         self.requests: dict[int, Request] = {}
         self.held: list[Request] = []  # nobody may get them yet
@@ -340,15 +351,19 @@
         self.asking.told()
         self.changed = True
         named = set()
+        new: list[Worker] = []
         for entry in event.entries:
             named.add(entry.worker)
+            if entry.worker not in self.workers:
+                new.append(Worker(entry.worker))
+                self.workers[entry.worker] = new[-1]
             self._on_entry(entry)
         if event.kind is not ListKind.CHANGES:
             for worker in self.workers.values():
-                if worker.name not in named:
+                if worker.listed and worker.name not in named:
                     worker.ready = worker.listed = False
-        self._least_total = None
-        self.ready = [w for w in self.workers.values() if w.ready]
+                    self.pool.update(worker)
+        self._choose_servers(new)
         if not self.arrivals:
             self.last_arrival = self.now  # the silence before the first request counts from the start
         if event.kind is ListKind.SAVED and self.settings.list_on_request and not self.asking.subscribed:
@@ -358,6 +373,33 @@
             else:
                 self._subscribe(self)
 
+    def _choose_servers(self, new: list[Worker]) -> None:
+        """Which servers we work with, and which of them we probe, after a change of the list."""
+        self._least_total = None
+        if self.pool.crowded:
+            self.ready, probed = self.pool.usable(), self.pool.probed()
+            new = []
+        else:
+            self.ready = probed = [w for w in self.workers.values() if w.ready]
+        self.probed = dict.fromkeys(probed)
+        if self.settings.limits.checks and self.settings.report_source is not ReportSource.NOWHERE:
+            # Dispatchers hear of a worker together, after a release they start together: not all at once.
+            spread = max(self.settings.tick_us * 4, self.settings.group_size * CHECK_APART)
+            for worker in [*new, *self.probed]:
+                if not worker.probing:
+                    worker.probing = True
+                    self._at(self.now + self.random.random() * spread, self._check, worker)
+
+    @property
+    def _covered(self) -> float:
+        """The share of all ready servers that we work with."""
+        return len(self.ready) / len(self.pool) if self.pool.crowded else 1.0
+
+    @property
+    def _sharers(self) -> float:
+        """How many dispatchers work with one server."""
+        return max(1.0, self.settings.group_size * self._covered)
+
     def _many(self) -> bool:
         """More workers than our own checks can keep fresh figures of."""
         return len(self.ready) > MANY
@@ -371,13 +413,7 @@
             self.actions.append(Subscribe())
 
     def _on_entry(self, entry: WorkerEntry) -> None:
-        worker = self.workers.get(entry.worker)
-        if worker is None:
-            worker = self.workers[entry.worker] = Worker(entry.worker)
-            if self.settings.limits.checks and self.settings.report_source is not ReportSource.NOWHERE:
-                # Dispatchers hear of a worker together, after a release they start together: not all at once.
-                spread = max(self.settings.tick_us * 4, self.settings.group_size * CHECK_APART)
-                self._at(self.now + self.random.random() * spread, self._check, worker)
+        worker = self.workers[entry.worker]
         worker.zone, worker.kind, worker.cell = entry.zone, entry.kind, entry.cell
         worker.hint = entry.capacity_hint if self.settings.hint_meaning == "nominal" else 1.0
         worker.ready = entry.state is WorkerState.READY
@@ -389,6 +425,7 @@
             worker.cold_from = entry.started_us
             worker.cold_paid = None
             worker.capacity(self.now, self.settings)
+        self.pool.update(worker)
 
     # ------------------------------------------------------------ figures and checks
 
@@ -419,13 +456,16 @@
         price = self.settings.prices.check
         if price > 0 and self.ready:
             gap = max(self.gap_us, self.now - self.last_arrival)  # a long silence tells of a longer gap
-            workers = len(self.ready)
+            workers = len(self.probed)
             cost = CHECK_COST * min(CHECK_MORE, max(1.0, workers / MANY))
             alpha = min(alpha, cost / price / gap / workers)
         return alpha
 
     def _check(self, worker: Worker) -> None:
         """Check a worker 1 / (u_j alpha) after its newest figure, and at the floor rate when empty."""
+        if self.pool.crowded and worker not in self.probed:
+            worker.probing = False
+            return
         if not worker.ready:
             self._at(self.now + self.spacing * 4, self._check, worker)
             return
@@ -652,11 +692,21 @@
             for w in self.ready:
                 if w.kind == kind and w.total:
                     room += max(0.0, w.free - w.delta)
-            load = self.shares[other] * self.class_us[other] * self.settings.group_size / self.gap_us
+            load = self.shares[other] * self.class_us[other] * self._sharers / self.gap_us
             if room < load:
                 wanted[kind] = min(room / load, wanted.get(kind, 1.0))
         return wanted
 
+    def _candidates(self, request: Request) -> list[Worker]:
+        """The servers to choose from: ours; where only those of one cell may repeat it, all of that cell."""
+        if not self.pool.crowded:
+            return self.ready
+        cell = request.repeat_cell()
+        candidates = self.ready if cell is None else self.pool.of_cell(cell)
+        if len(candidates) > SUBSET_LEAST:
+            return self.random.sample(candidates, SUBSET_LEAST)
+        return candidates
+
     def _draw(
         self, request: Request, other_than: Worker | None = None, roomy: bool = False, elsewhere: bool = False
     ) -> Worker | None:
@@ -667,7 +717,7 @@
         """
         now, settings = self.now, self.settings
         fit = [
-            w for w in self.ready
+            w for w in self._candidates(request)
             if w is not other_than and self._may_get(w, request) and request.may_send(w, now, settings)
         ]
         if elsewhere and other_than is not None:
@@ -894,8 +944,9 @@
             step = max(SPACING_STEP / 4, 1.0 / self.arrivals)
             self.gap_us = max(1.0, self.gap_us + step * (now - self.last_arrival - self.gap_us))
         spent, self.last_arrival = now - self.last_arrival, now
+        part = self.part * self._covered  # of the work at all servers, not only at ours
         for t, quota in enumerate(self.quota):
-            self.tokens[t] = min(quota, self.tokens[t] + quota * self.part * spent / SECOND)
+            self.tokens[t] = min(quota, self.tokens[t] + quota * part * spent / SECOND)
         for c in range(len(self.shares)):
             self.shares[c] += SPACING_STEP / 4 * ((c == event.cls) - self.shares[c])
         self._observe_width(event.cls, number(event.slots) or 1.0)
@@ -937,7 +988,8 @@
             self.kept = frozenset()
             return
         own = self.wide_us / self.gap_us
-        need = KEPT * (share * (own + self.peers.wide) + (1.0 - share) * own / self.part) / widest
+        told = (own + self.peers.wide) * self._covered
+        need = KEPT * (share * told + (1.0 - share) * own / self.part) / widest
         count = min(int(need + 0.5), len(self.ready) // 2)
         order = sorted(self.ready, key=lambda w: (w.key, w.name))
         self.kept = frozenset(w.name for w in order[:count])
@@ -962,7 +1014,7 @@
                 own += min(w.out, w.total)
                 used += max(min(w.out, w.total), w.total - max(0.0, w.free))
         if used > 0:
-            least = PART_LEAST / self.settings.group_size
+            least = PART_LEAST / self._sharers
             self.part = max(least, self.part + SPACING_STEP * (own / used - self.part))
 
     def _follow_up(self, attempt: Attempt) -> None:
--- a/tansygw/worker.py
+++ b/tansygw/worker.py
@@ -32,9 +32,9 @@
 
     __slots__ = ("asked", "blocked", "cell", "cold_credit", "cold_from", "cold_paid", "delta", "down",
                  "errors", "faults", "figures", "free", "heard", "hint", "key", "kind", "listed", "live",
-                 "lost_at", "memory", "moves", "name", "out", "pace", "past", "proofs", "ready", "retry_at",
-                 "risk_at", "seats", "seen", "started_us", "strikes", "total", "trial", "waiting", "well_at",
-                 "zone")
+                 "lost_at", "memory", "moves", "name", "out", "pace", "past", "probing", "proofs", "ready",
+                 "retry_at", "risk_at", "seats", "seen", "started_us", "strikes", "total", "trial", "waiting",
+                 "well_at", "zone")
 
     def __init__(self, name: str) -> None:
         self.name = name
@@ -58,6 +58,7 @@
         self.total = 0.0  # T_j: the largest free-slot figure it has reported
         self.seats = 0.0  # the most jobs it held while it had room: beyond this they wait
         self.asked = False  # a check is out
+        self.probing = False  # its checks go on: one is out, or due
         # own traffic
         self.out = 0.0  # slots of own attempts out
         self.moves: deque[tuple[int, float]] = deque()  # own slots taken and given back since the figures
