--- a/rushsaddle/net/nexthop.py
+++ b/rushsaddle/net/nexthop.py
@@ -139,6 +139,8 @@
         self.on_sent = on_sent  # told of each branch that is written whole
         self.leaving = leaving
         self.hops: dict[str, Hop] = {}
+        self._pooled: dict[Hop, None] = {}  # those with idle connections, perhaps some that had
+        self._unlisted: dict[str, Hop] = {}  # gone since the last sweep
         self.open = 0
         self.probing = True
 
@@ -155,19 +157,24 @@
                 self._close_idle(hop)
             if address[0]:
                 hop.address = address
-        for hop in self.hops.values():
-            if complete and hop.uid not in named:
-                hop.listed = False
-                self._close_idle(hop)
+            if not hop.listed:
+                self._unlisted[hop.uid] = hop
+        if complete:
+            for hop in self.hops.values():
+                if hop.uid not in named:
+                    hop.listed = False
+                    self._unlisted[hop.uid] = hop
+                    self._close_idle(hop)
 
     def _close_idle(self, hop: Hop) -> None:
         while hop.idle:
             self._discard(hop.idle.pop())
+        self._pooled.pop(hop, None)
 
     def wind_up(self) -> None:
         """The process ends: nobody will ask what probes find, and idle connections are another's to have."""
         self.probing = False
-        for hop in self.hops.values():
+        for hop in list(self._pooled):
             self._close_idle(hop)
 
     def sweep(self) -> Coroutine[None]:
@@ -175,15 +182,19 @@
         while True:
             yield Wait(until_us=self.loop.now_us() + SWEEP_US)
             before = self.loop.now_us() - self.keep.limit(self.loop.now_us())
-            for hop in list(self.hops.values()):
-                if not hop.listed:
+            for hop in self._unlisted.values():
+                if not hop.listed and self.hops.get(hop.uid) is hop:
                     del self.hops[hop.uid]
+            self._unlisted.clear()
+            for hop in list(self._pooled):
                 idle, hop.idle = hop.idle, []
                 for connection in idle:
                     if connection.idle_since_us < before or connection.stream.readable():
                         self._discard(connection)
                     else:
                         hop.idle.append(connection)
+                if not hop.idle:
+                    del self._pooled[hop]
 
     # ------------------------------------------------------------ connections
 
@@ -216,7 +227,7 @@
 
     def evict(self) -> bool:
         """Give up the connection that has been idle longest."""
-        hops = [hop for hop in self.hops.values() if hop.idle]
+        hops = [hop for hop in self._pooled if hop.idle]
         if not hops:
             return False
         self._discard(min(hops, key=lambda hop: hop.idle[0].idle_since_us).idle.pop(0))
@@ -231,6 +242,7 @@
         connection.stream.h11.start_next_cycle()
         connection.idle_since_us = self.loop.now_us()
         hop.idle.append(connection)
+        self._pooled[hop] = None
 
     def _discard(self, connection: Connection) -> None:
         self.open -= 1
