Slow start by our own clock: a stepped wall clock neither ends nor prolongs it

Terms: the wall clock may be stepped by an hour, windows are real time. Cause: a server's start, told by a wall clock, was taken as a time of ours; after a step back a server that had just started counted as warm (and as not started anew at all), after a step forward it stayed in slow start for an hour. Open: the first list of a process whose own clock is ahead.

--- a/tansygw/decide.py
+++ b/tansygw/decide.py
@@ -52,7 +52,7 @@
     WorkerList,
     WorkerState,
 )
-from .lists import Asking
+from .lists import TOLD_US, Asking
 from .pace import Pace
 from .peers import Peers
 from .settings import check
@@ -228,6 +228,7 @@
         self.actions: list[Action] = []
         self.workers: dict[str, Worker] = {}
         self.ready: list[Worker] = []  # those that we work with
+        self._followed = False  # discovery has told its list since our start
         self.pool = ServerPool(settings.rank, settings.group_size, any(c.kind >= 0 for c in settings.classes))
         self.probed: dict[Worker, None] = {}  # of ``ready``, those that are probed
         self._least_total: float | None = None  # of ``ready``, the least T_j known; None: not worked out
@@ -358,6 +359,7 @@
                 new.append(Worker(entry.worker))
                 self.workers[entry.worker] = new[-1]
             self._on_entry(entry)
+        self._followed = self._followed or event.kind is not ListKind.SAVED
         if event.kind is not ListKind.CHANGES:
             for worker in self.workers.values():
                 if worker.listed and worker.name not in named:
@@ -418,15 +420,24 @@
         worker.hint = entry.capacity_hint if self.settings.hint_meaning == "nominal" else 1.0
         worker.ready = entry.state is WorkerState.READY
         worker.listed = entry.state is not WorkerState.GONE
-        if entry.started_us > worker.started_us:
+        if entry.started_us and entry.started_us != worker.started_us:
             worker.started_us = entry.started_us
             worker.forget()
             worker.pace = Pace(PACE_KEEP)
-            worker.cold_from = entry.started_us
+            worker.cold_from = self._slow_start_from(entry.started_us)
             worker.cold_paid = None
             worker.capacity(self.now, self.settings)
         self.pool.update(worker)
 
+    def _slow_start_from(self, started_us: int) -> int:
+        """When a server's slow start began, in our own time.
+
+        Its start is told by a wall clock, which may have been stepped.  While the list is followed, a start
+        that is new to us is no older than the longest time until a change is told.
+        """
+        earliest = self.now - TOLD_US if self._followed else started_us
+        return min(self.now, max(started_us, earliest))
+
     # ------------------------------------------------------------ figures and checks
 
     def _learn(self, worker: Worker, report: Report | None) -> None:
