--- a/measure/rig.py
+++ b/measure/rig.py
@@ -112,9 +112,10 @@
 class Node:
     def __init__(
         self, folder: Path, discovery: str, operator: Mapping[str, str], sockets: int = 4096,
-        tree: Path | None = None, begin: bool = True, **more: Any,
+        tree: Path | None = None, begin: bool = True, module: tuple[str, ...] = ("rushsaddle",), **more: Any,
     ) -> None:
         self.tree = tree  # run from this checkout instead of the present one
+        self.module = module  # what python runs, and its arguments
         self.folder = folder
         self.operator = dict(operator)
         self.port = 0
@@ -134,7 +135,7 @@
         self.log = self.folder / f"log-{self.starts}"
         with open(self.log, "wb") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "rushsaddle"], cwd=self.tree, env=env, stdout=log, stderr=log
+                [sys.executable, "-m", *self.module], cwd=self.tree, env=env, stdout=log, stderr=log
             )
 
     def start(self) -> float:
--- a/rushsaddle/net/listener.py
+++ b/rushsaddle/net/listener.py
@@ -4,13 +4,17 @@
 
 import os
 import socket
+import time
 from collections.abc import Callable
 
 from ..core.log import Log
 from ..core.loop import Coroutine, Loop, Wait
 from ..core.names import Address
+from .http import NO_DESCRIPTOR
 
 BACKLOG = 512
+CREATE_S = 5.0  # so long a start waits for a socket
+CREATE_PAUSE_S = 0.05
 AGAIN_US = 1_000_000  # the address may be held by a process that is being replaced: it is tried again
 
 
@@ -32,8 +36,21 @@
         self.sock.close()
 
 
+def _created() -> socket.socket:
+    """A new socket.  Where the system has none for the moment it is asked again, for some seconds."""
+    until = time.monotonic() + CREATE_S
+    while True:
+        try:
+            return socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError as error:
+            if error.errno not in NO_DESCRIPTOR or time.monotonic() >= until:
+                raise NoListener(f"no socket to listen on: {error}") from None
+        time.sleep(CREATE_PAUSE_S)
+
+
 def opened(address: Address) -> Listener:
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    """A socket that listens there; raises NoListener where none is to be had."""
+    sock = _created()
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind(address)
