--- a/measure/many_servers.py
+++ b/measure/many_servers.py
@@ -23,6 +23,7 @@
 from .rig import SETTINGS, Caller, Node, Reply, Senders, memory_mb, room_for_descriptors
 
 GROUP = 186  # nodes that share the servers, by the settings; the others send nothing here
+FEW = 5  # the same in a small group, each node of which uses all servers
 JOBS_PER_S = 12.0
 SECONDS = 12.0
 DEADLINE_S = 3.0
@@ -134,12 +135,12 @@
     return late
 
 
-def play(servers: int, folder: Path, seed: int = 1) -> Play:
+def play(servers: int, folder: Path, seed: int = 1, group: int = GROUP) -> Play:
     """Serve for some seconds while half of the servers are replaced in steps."""
     room_for_descriptors()
     release = {**RELEASE, "servers": servers // 2 // int(RELEASE["steps"])}
     stand = Senders(folder, servers, slots=4, release=release)
-    settings = {**SETTINGS, "GroupSize": GROUP, "Rank": 67, "Discovery": "pushed",
+    settings = {**SETTINGS, "GroupSize": group, "Rank": group // 3, "Discovery": "pushed",
                 "Rules": {**SETTINGS["Rules"], **RULES}}
     found = Play(servers)
     try:
@@ -163,13 +164,14 @@
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0] if __doc__ else None)
     parser.add_argument("servers", type=int, nargs="+")
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--group", type=int, default=GROUP, help="nodes that share the servers")
     given = parser.parse_args()
     columns = ("servers", "requests", "served", "lost", "sent while draining", "processor, s", "peak, MB",
                "descriptors", "connections made", "lists, bytes")
     print(f"| {' | '.join(columns)} |\n|{' --- |' * len(columns)}")
     for servers in given.servers:
         with tempfile.TemporaryDirectory() as folder:
-            row = play(servers, Path(folder), given.seed)
+            row = play(servers, Path(folder), given.seed, given.group)
         usage = row.usage
         print(f"| {servers} | {len(row.replies)} | {row.served} | {row.lost} | {len(row.late_sends)} "
               f"| {usage.cpu_s:.2f} | {usage.peak_mb:.1f} | {usage.descriptors} | {usage.connections} "
--- a/tests/test_many_servers.py
+++ b/tests/test_many_servers.py
@@ -2,24 +2,30 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
 from dataclasses import fields
 
 import pytest
 
-from measure.many_servers import Play, allowed, play
+from measure.many_servers import FEW, GROUP, Play, allowed, play
 
 USUAL, MANY = 200, 3200
 
 
+@pytest.fixture(scope="module", params=[GROUP, FEW])
+def group(request: pytest.FixtureRequest) -> int:
+    """How many nodes share the servers: with few each uses all of them."""
+    found: int = request.param
+    return found
+
+
 @pytest.fixture(scope="module")
-def usual(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Play]:
-    yield play(USUAL, tmp_path_factory.mktemp("usual"))
+def usual(tmp_path_factory: pytest.TempPathFactory, group: int) -> Play:
+    return play(USUAL, tmp_path_factory.mktemp("usual"), group=group)
 
 
 @pytest.fixture(scope="module")
-def many(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Play]:
-    yield play(MANY, tmp_path_factory.mktemp("many"))
+def many(tmp_path_factory: pytest.TempPathFactory, group: int) -> Play:
+    return play(MANY, tmp_path_factory.mktemp("many"), group=group)
 
 
 # Requests got no answer while thousands of servers were replaced: each selection cost their number squared.
