Move legs, job headers and shutdown times out of caller.py

Change: net/leg.py has a caller's connection and the interfaces of what takes it over, net/job_headers.py reads a job's properties from the headers, net/shutdown.py computes the times of a shutdown. Nothing else is changed.

--- a/rushsaddle/net/caller.py
+++ b/rushsaddle/net/caller.py
@@ -9,19 +9,19 @@
 import socket
 from collections.abc import Mapping
 from http import HTTPStatus
-from typing import Any, Protocol
+from typing import Any
 
 import h11
 import orjson
 
-from tansygw.interface import DEFAULT_POLICY, NO_TENANT
+from tansygw.interface import DEFAULT_POLICY
 
 from ..core.admission import Limiter, Rejection
 from ..core.decider import Decider
 from ..core.lifecycle import Lifecycle, Phase
 from ..core.log import Log
 from ..core.loop import Coroutine, Loop, Task, Wait
-from ..core.transaction import Answer, Job, Transaction, Verdict
+from ..core.transaction import Answer, Transaction, Verdict
 from . import eviction
 from .http import (
     LINGER_US,
@@ -33,12 +33,14 @@
     Stream,
     ambiguous_framing,
     end_to_end_headers,
-    number,
     retry_after,
     status_of,
 )
+from .job_headers import MAX_TIMEOUT_S, ClassDeadline, parse_job
+from .leg import HANGUP, JobHandler, Leg, Successor
 from .listener import Listener
 from .nexthop import NextHops
+from .shutdown import ShutdownSchedule
 
 IDLE_TIMEOUT_US = 75_000_000  # between two requests of a leg
 # Time for a whole request, the first counted from the connect, a later one from its start: valid callers on
@@ -52,75 +54,6 @@
 DRAIN_IDLE_US = 500_000  # first request of a leg accepted while draining
 # Idle legs are closed one by one in this span after a change of phase; an answer tells most callers before.
 IDLE_CLOSE_SPAN_US = {Phase.PAUSED: (500_000, 1_500_000), Phase.ENDING: (200_000, 600_000)}
-# SIGKILL comes no sooner after SIGTERM than the longest deadline, capped at the first, plus the second.
-KILL_MAX_DEADLINE_US = 3_000_000
-KILL_GRACE_US = 700_000
-KILL_MARGIN_US = 200_000  # requests after SIGTERM are answered this long before SIGKILL
-MAX_TIMEOUT_S = 86_400.0  # numbers from callers must be bounded in the decisions
-MAX_ATTR = 1e6
-MAX_COST = 1e12
-HANGUP = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
-
-
-class ClassDeadline:
-    """Number and default deadline of a request class."""
-
-    __slots__ = ("deadline_us", "number")
-
-    def __init__(self, number: int, deadline_us: int) -> None:
-        self.number = number
-        self.deadline_us = deadline_us
-
-
-class JobHandler(Protocol):
-    """Accepts deferred requests and serves ``/jobs/``."""
-
-    longest_us: int
-
-    def job_options(self, headers: Mapping[bytes, bytes]) -> Any: ...
-
-    def has_job(self, name: str) -> bool: ...
-
-    def submit(
-        self, leg: Leg, options: Any, job: Job, payload: Request, received_us: int, wait_us: int | None,
-        limit_us: int,
-    ) -> Coroutine[bool]: ...
-
-    def serve_resource(
-        self, leg: Leg, head: Any, headers: Mapping[bytes, bytes], path: bytes, unread: bool
-    ) -> Coroutine[bool]: ...
-
-
-class Successor(Protocol):
-    """The process that replaces this one and takes over its caller connections, open."""
-
-    def hand_over(self, sock: socket.socket, proven: bool, unread: bytes) -> None: ...
-
-
-class Leg:
-    """A caller's connection and its state."""
-
-    __slots__ = ("close_us", "evicted", "idle", "idle_since_us", "opened_us", "proven", "reading_head",
-                 "stream", "task")
-
-    def __init__(self, stream: Stream, now: int) -> None:
-        self.stream = stream
-        self.opened_us = now
-        self.proven = False  # it has sent a valid request
-        self.idle = False  # waiting for the first byte of a request
-        self.idle_since_us = 0  # start of the latest idle period
-        self.reading_head = False  # waiting for the rest of a request head
-        self.evicted = False  # selected for eviction
-        self.close_us: int | None = None  # draining: closed at this time if still idle
-        self.task: Task | None = None
-
-    @property
-    def last_received_us(self) -> int:
-        return max(self.stream.last_received_us, self.idle_since_us)
-
-    @property
-    def has_sent(self) -> bool:
-        return self.stream.last_received_us > self.opened_us  # later only once a byte was received
 
 
 class Callers:
@@ -240,9 +173,8 @@
         now = self.loop.now_us()
         if self.lifecycle.phase is Phase.ENDING and self.answer_by_us is None and self.successor is None:
             longest = max((c.deadline_us for c in self.classes.values()), default=0)
-            self.answer_by_us = now + min(longest, KILL_MAX_DEADLINE_US) + KILL_GRACE_US - KILL_MARGIN_US
-            # Accept requests for half of that time; the rest is for those in progress by then.
-            self.serve_until_us = now + (self.answer_by_us - now) // 2
+            schedule = ShutdownSchedule.from_signal(now, longest)
+            self.answer_by_us, self.serve_until_us = schedule.answer_by_us, schedule.serve_until_us
         span = IDLE_CLOSE_SPAN_US.get(self.lifecycle.phase)
         idle = [leg for leg in self.legs if leg.idle]
         for n, leg in enumerate(idle):
@@ -354,7 +286,7 @@
             raise BadRequest(413, "too long a body")
         options = api.job_options(headers) if api is not None else None
         longest_s = api.longest_us / 1e6 if api is not None and options is not None else MAX_TIMEOUT_S
-        job, wait_us = self._job(headers, cls, longest_s)
+        job, wait_us = parse_job(headers, cls.number, self.tenants, longest_s)
         body = yield from self._body(stream, until_us)
         received = self.loop.now_us()
         name = headers[b"x-request-id"].decode("ascii")
@@ -418,35 +350,6 @@
                 raise BadRequest(413, "too long a body")
         return bytes(body)
 
-    def _job(
-        self, headers: Mapping[bytes, bytes], cls: ClassDeadline, longest_s: float
-    ) -> tuple[Job, int | None]:
-        """The job that the headers describe, and the caller's timeout, None if it sets none."""
-        if not headers.get(b"x-request-id"):
-            raise BadRequest(400, "X-Request-ID: missing")
-        wait_us = None
-        if b"x-timeout" in headers:
-            wait_us = int(number("X-Timeout", headers[b"x-timeout"], longest_s) * 1e6)
-        attrs: dict[str, float] = {}
-        for item in headers.get(b"x-attrs", b"").split(b","):
-            name, equals, value = item.strip().partition(b"=")
-            if name in (b"slots", b"memory"):
-                attrs[name.decode()] = number("X-Attrs", value, MAX_ATTR)
-            elif name and not equals:
-                raise BadRequest(400, "X-Attrs: not name=value")
-        key = ""
-        for cookie in headers.get(b"cookie", b"").split(b";"):
-            name, _, value = cookie.strip().partition(b"=")
-            if name == b"key":
-                key = value.decode("latin-1")
-        cost = int(number("X-Cost", headers.get(b"x-cost", b"0"), MAX_COST))
-        job = Job(
-            cls.number, attrs.get("slots", 1.0), attrs.get("memory", 0.0),
-            self.tenants.get(headers.get(b"x-tenant-id", b"").decode("latin-1"), NO_TENANT), key,
-            headers.get(b"x-retried") == b"1", cost, bool(headers.get(b"idempotency-key")),
-        )
-        return job, wait_us
-
     def reply(
         self, leg: Leg, status: int, body: bytes, extra: list[Header] | None = None, close: bool = False
     ) -> Coroutine[bool]:
--- a/rushsaddle/net/jobs_api.py
+++ b/rushsaddle/net/jobs_api.py
@@ -18,9 +18,10 @@
 from ..waiting.scheduler import EndReason
 from ..waiting.service import DeferredJobs
 from ..waiting.store import StoreFailure
-from .caller import HANGUP, Callers, Leg
+from .caller import Callers
 from .http import BadRequest, Header, Request, retry_after
 from .jobs import JobOptions, job_location, job_name, pack_request, parse_job_options, parse_prefer, shown
+from .leg import HANGUP, Leg
 
 # Not forwarded: a next hop must not defer the job again.
 LOCAL_HEADERS = frozenset((b"x-not-before", b"x-after", b"prefer"))
--- /dev/null
+++ b/rushsaddle/net/leg.py
@@ -0,0 +1,65 @@
+"""A caller's connection and its state, and the interfaces of what may take it from the caller legs."""
+
+from __future__ import annotations
+
+import select
+import socket
+from collections.abc import Mapping
+from typing import Any, Protocol
+
+from ..core.loop import Coroutine, Task
+from ..core.transaction import Job
+from .http import Request, Stream
+
+HANGUP = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
+
+
+class Leg:
+    """A caller's connection and its state."""
+
+    __slots__ = ("close_us", "evicted", "idle", "idle_since_us", "opened_us", "proven", "reading_head",
+                 "stream", "task")
+
+    def __init__(self, stream: Stream, now: int) -> None:
+        self.stream = stream
+        self.opened_us = now
+        self.proven = False  # it has sent a valid request
+        self.idle = False  # waiting for the first byte of a request
+        self.idle_since_us = 0  # start of the latest idle period
+        self.reading_head = False  # waiting for the rest of a request head
+        self.evicted = False  # selected for eviction
+        self.close_us: int | None = None  # draining: closed at this time if still idle
+        self.task: Task | None = None
+
+    @property
+    def last_received_us(self) -> int:
+        return max(self.stream.last_received_us, self.idle_since_us)
+
+    @property
+    def has_sent(self) -> bool:
+        return self.stream.last_received_us > self.opened_us  # later only once a byte was received
+
+
+class JobHandler(Protocol):
+    """Accepts deferred requests and serves ``/jobs/``."""
+
+    longest_us: int
+
+    def job_options(self, headers: Mapping[bytes, bytes]) -> Any: ...
+
+    def has_job(self, name: str) -> bool: ...
+
+    def submit(
+        self, leg: Leg, options: Any, job: Job, payload: Request, received_us: int, wait_us: int | None,
+        limit_us: int,
+    ) -> Coroutine[bool]: ...
+
+    def serve_resource(
+        self, leg: Leg, head: Any, headers: Mapping[bytes, bytes], path: bytes, unread: bool
+    ) -> Coroutine[bool]: ...
+
+
+class Successor(Protocol):
+    """The process that replaces this one and takes over its caller connections, open."""
+
+    def hand_over(self, sock: socket.socket, proven: bool, unread: bytes) -> None: ...
--- a/rushsaddle/node.py
+++ b/rushsaddle/node.py
@@ -28,8 +28,9 @@
 from .core.loop import Clock, Coroutine, Loop, Wait
 from .core.loop_delays import LoopDelays
 from .net import listener
-from .net.caller import Callers, ClassDeadline
+from .net.caller import Callers
 from .net.discovery import Discovery
+from .net.job_headers import ClassDeadline
 from .net.list_retry import ListRetry
 from .net.nexthop import NextHops
 from .net.peers import PeerLink
