A shutdown counts from its signal, also when the successor dies meanwhile

What callers saw: a process that is being replaced, and whose successor dies after the signal to end, gave the requests that came then more time than it had: they found the process killed. Cause: the times of a shutdown were computed where a phase change found no successor, so with a successor only at its end, and counted from then. Evidence: signal at 1.0 s, SIGKILL at 4.7 s at the earliest, successor gone at 2.0 s: answers were due by 5.5 s. Why it works: the schedule is set once, by the signal, with or without a successor; whether the process serves on is asked when it matters. tests/takeover/test_shutdown.py covers both; the old code has no such schedule and gives the 5.5 s above.

--- a/rushsaddle/net/caller.py
+++ b/rushsaddle/net/caller.py
@@ -75,8 +75,7 @@
         self.limiter: Limiter | None = None
         self.successor: Successor | None = None  # serves already, and takes over the legs when we end
         self.lifecycle = lifecycle
-        self.serve_until_us = 0  # an ending node serves until then: callers may have no other node
-        self.answer_by_us: int | None = None  # deadline of requests that arrive after the signal to end
+        self.shutdown: ShutdownSchedule | None = None  # set by the signal to end
         lifecycle.watch(self._on_phase_change)
         self._listener: Listener | None = None
         self._acceptor: Task | None = None
@@ -165,16 +164,15 @@
 
     def _on_phase_change(self) -> None:
         """After a change of phase or successor: schedule closing or handover of idle legs."""
+        now = self.loop.now_us()
+        if self.lifecycle.phase is Phase.ENDING and self.shutdown is None:
+            longest = max((c.deadline_us for c in self.classes.values()), default=0)
+            self.shutdown = ShutdownSchedule.from_signal(now, longest)
         if self._handing_over:
             for leg in self.legs:
                 if leg.idle or leg.reading_head:
                     self.wake(leg)
             return
-        now = self.loop.now_us()
-        if self.lifecycle.phase is Phase.ENDING and self.answer_by_us is None and self.successor is None:
-            longest = max((c.deadline_us for c in self.classes.values()), default=0)
-            schedule = ShutdownSchedule.from_signal(now, longest)
-            self.answer_by_us, self.serve_until_us = schedule.answer_by_us, schedule.serve_until_us
         span = IDLE_CLOSE_SPAN_US.get(self.lifecycle.phase)
         idle = [leg for leg in self.legs if leg.idle]
         for n, leg in enumerate(idle):
@@ -183,6 +181,13 @@
                 leg.close_us = max(now, self.serve_until_us) + span[0] + (span[1] - span[0]) * n // len(idle)
             self.wake(leg)
 
+    @property
+    def serve_until_us(self) -> int:
+        """End of the time for which an ending process without a successor goes on serving; else 0."""
+        if self.shutdown is None or self.successor is not None:
+            return 0
+        return self.shutdown.serve_until_us
+
     # ------------------------------------------------------------ one leg
 
     def _run_leg(self, leg: Leg) -> Coroutine[None]:
@@ -313,8 +318,8 @@
             wait_us = min(wait_us, admission.timeout_us)
             policy, permit = admission.policy, admission.permit
         until = received + wait_us
-        if self.answer_by_us is not None:
-            until = min(until, max(received, self.answer_by_us))
+        if self.shutdown is not None:
+            until = min(until, max(received, self.shutdown.answer_by_us))
         transaction = self.decider.submit(
             name, job, payload, received, until, lambda: self.wake(leg), policy=policy, permit=permit,
         )
