The time for a request goes on when its connection is handed over

What callers saw: one that sends the head of a request and stops was kept for up to 4.1 s when the process was replaced meanwhile (2.6 s here are the node's limit, 3 s the time that bad clients are owed). Cause: the newer process counted a connection's age, and the time for its request, from the handover. Evidence: head sent, process replaced 1.5 s later: the 408 came 4.10 s after the head. Why it works: the message that hands a connection over says how much of that time has passed (elapsed_us; 0 where an earlier version does not say), and the newer process goes on from there. tests/takeover/test_incomplete_requests.py failed before.

--- a/rushsaddle/net/caller.py
+++ b/rushsaddle/net/caller.py
@@ -113,13 +113,20 @@
             self.adopt(sock, proven=False)
         return True
 
-    def adopt(self, sock: socket.socket, proven: bool, unread: bytes = b"") -> None:
-        """Own a connection, newly accepted or handed over by another process with its unread bytes."""
+    def adopt(self, sock: socket.socket, proven: bool, elapsed_us: int = 0, unread: bytes = b"") -> None:
+        """Own a connection, newly accepted or handed over by another process with its unread bytes.
+
+        ``elapsed_us``: the time that has passed there for the request that ``unread`` begins, or, before the
+        first valid request, since the connect.
+        """
         sock.setblocking(False)
-        leg = Leg(Stream(self.loop, sock, h11.SERVER), self.loop.now_us())
+        leg = Leg(Stream(self.loop, sock, h11.SERVER), self.loop.now_us() - elapsed_us)
         leg.proven = proven
         if unread:
             leg.stream.h11.receive_data(unread)
+            leg.resumed = True
+        else:
+            leg.stream.last_received_us = leg.opened_us
         self.legs[leg] = None
         leg.task = self.loop.spawn(self._run_leg(leg))
 
@@ -138,8 +145,9 @@
         assert self.successor is not None
         sock = leg.stream.sock
         self.loop.unregister(sock.fileno())
+        elapsed_us = max(0, self.loop.now_us() - leg.request_since_us)
         self.successor.hand_over(
-            socket.socket(fileno=sock.detach()), leg.proven, leg.stream.h11.trailing_data[0]
+            socket.socket(fileno=sock.detach()), leg.proven, elapsed_us, leg.stream.h11.trailing_data[0]
         )
 
     def _evict(self) -> None:
@@ -209,7 +217,10 @@
         stream = leg.stream
         if not stream.h11.trailing_data[0] and not (yield from self._idle(leg)):
             return False
-        until = (self.loop.now_us() if leg.proven else leg.opened_us) + REQUEST_TIMEOUT_US
+        if leg.proven and not leg.resumed:
+            leg.request_since_us = self.loop.now_us()
+        leg.resumed = False
+        until = leg.request_since_us + REQUEST_TIMEOUT_US
         try:
             leg.reading_head = True
             head, raw = (None, b"") if self._handing_over else (yield from stream.head(until))
--- a/rushsaddle/net/leg.py
+++ b/rushsaddle/net/leg.py
@@ -18,15 +18,17 @@
     """A caller's connection and its state."""
 
     __slots__ = ("close_us", "evicted", "idle", "idle_since_us", "opened_us", "proven", "reading_head",
-                 "stream", "task")
+                 "request_since_us", "resumed", "stream", "task")
 
-    def __init__(self, stream: Stream, now: int) -> None:
+    def __init__(self, stream: Stream, opened_us: int) -> None:
         self.stream = stream
-        self.opened_us = now
+        self.opened_us = opened_us
         self.proven = False  # it has sent a valid request
         self.idle = False  # waiting for the first byte of a request
         self.idle_since_us = 0  # start of the latest idle period
         self.reading_head = False  # waiting for the rest of a request head
+        self.request_since_us = opened_us  # the time for the request being read counts from here
+        self.resumed = False  # its next request was begun at another process
         self.evicted = False  # selected for eviction
         self.close_us: int | None = None  # draining: closed at this time if still idle
         self.task: Task | None = None
@@ -62,4 +64,5 @@
 class Successor(Protocol):
     """The process that replaces this one and takes over its caller connections, open."""
 
-    def hand_over(self, sock: socket.socket, proven: bool, unread: bytes) -> None: ...
+    def hand_over(self, sock: socket.socket, proven: bool, elapsed_us: int, unread: bytes) -> None:
+        """Take a connection; ``elapsed_us`` of the time for its request, if any, have passed."""
--- a/rushsaddle/takeover/messages.py
+++ b/rushsaddle/takeover/messages.py
@@ -41,6 +41,7 @@
     """A caller's connection handed over; its descriptor is sent with the message."""
 
     proven: bool  # it has sent a valid request
+    elapsed_us: int = 0  # of the time for the request that ``unread`` begins, or since the connect
     unread: bytes = b""  # the beginning of its next request
 
 
@@ -59,7 +60,8 @@
     if isinstance(message, Hello | Ending):
         fields["held"] = message.held
     elif isinstance(message, Moved):
-        fields["proven"], rest = message.proven, message.unread
+        fields["proven"], fields["elapsed_us"] = message.proven, message.elapsed_us
+        rest = message.unread
     return orjson.dumps(fields) + b"\n" + rest
 
 
@@ -72,19 +74,23 @@
             raise InvalidMessage("truncated message")
         kind = fields["note"]
         if kind in ("hello", "ending"):
-            held = fields["held"]
-            if not isinstance(held, int) or isinstance(held, bool) or held < 0:
-                raise InvalidMessage(f"held must be a non-negative integer, not {held!r}")
+            held = _count("held", fields["held"])
             return Hello(held) if kind == "hello" else Ending(held)
         if kind == "ready":
             return Ready()
         if kind == "moved":
-            return Moved(fields["proven"] is True, rest)
+            return Moved(fields["proven"] is True, _count("elapsed_us", fields.get("elapsed_us", 0)), rest)
     except (orjson.JSONDecodeError, KeyError, TypeError) as error:
         raise InvalidMessage(f"not a message: {error}") from None
     return Unknown()
 
 
+def _count(name: str, value: object) -> int:
+    if not isinstance(value, int) or isinstance(value, bool) or value < 0:
+        raise InvalidMessage(f"{name} must be a non-negative integer, not {value!r}")
+    return value
+
+
 def descriptor_share(sockets: int, shared: bool, held: int | None) -> int:
     """The number of the node's ``sockets`` descriptors that this process may use.
 
--- a/rushsaddle/takeover/peer.py
+++ b/rushsaddle/takeover/peer.py
@@ -32,9 +32,9 @@
         """Queues a message."""
         self._put(message, None)
 
-    def hand_over(self, sock: socket.socket, proven: bool, unread: bytes) -> None:
+    def hand_over(self, sock: socket.socket, proven: bool, elapsed_us: int, unread: bytes) -> None:
         """Queues a caller's connection, which belongs to the peer from here on."""
-        self._put(Moved(proven, unread), sock)
+        self._put(Moved(proven, elapsed_us, unread), sock)
 
     def _put(self, message: Message, sock: socket.socket | None) -> None:
         self._queue.append((message, sock))
--- a/rushsaddle/takeover/service.py
+++ b/rushsaddle/takeover/service.py
@@ -69,7 +69,9 @@
                 message, fds = found
                 if isinstance(message, Moved) and fds:
                     count += 1
-                    self.callers.adopt(socket.socket(fileno=fds[0]), message.proven, message.unread)
+                    self.callers.adopt(
+                        socket.socket(fileno=fds[0]), message.proven, message.elapsed_us, message.unread
+                    )
                 elif isinstance(message, Hello):
                     self.log.event("older process", held=message.held)
                 elif isinstance(message, Ending):
@@ -142,7 +144,7 @@
     def _take_back(self, leg: Leg) -> None:
         """Keeps a leg that the successor did not receive before it ended."""
         sock, message = leg
-        self.callers.adopt(sock, message.proven, message.unread)
+        self.callers.adopt(sock, message.proven, message.elapsed_us, message.unread)
 
     def announce_ending(self) -> None:
         """Called once this process begins to end; tells the successor how many descriptors are held here."""
--- /dev/null
+++ b/tests/takeover/test_incomplete_requests.py
@@ -0,0 +1,84 @@
+"""Requests that arrive in part before the process that read them is replaced, and the rest afterwards."""
+
+from __future__ import annotations
+
+import signal
+import socket
+import time
+from pathlib import Path
+
+import pytest
+
+from measure.rig import PROCESS_TIMEOUT_S
+from measure.site import Site
+
+BAD_CLIENT_S = 3.0  # an incomplete request is answered or its connection closed within this time
+OLD = 0  # number of the process that is replaced
+
+
+def head(name: str, *headers: str) -> bytes:
+    lines = ["POST /single-text HTTP/1.1", "Host: n0", f"X-Request-ID: {name}", "X-Timeout: 5.0",
+             f"Idempotency-Key: {name}", *headers]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+
+def whole(name: str) -> bytes:
+    return head(name, "Content-Length: 4") + b"text"
+
+
+def answer(connection: socket.socket) -> bytes:
+    """The head and what came with it of one answer."""
+    received = b""
+    while b"\r\n\r\n" not in received:
+        piece = connection.recv(65536)
+        assert piece, f"the connection ended after {received!r}"
+        received += piece
+    return received
+
+
+def wait_until_read(connection: socket.socket) -> None:
+    """Wait until the node has read all that was sent: the receive queue of its socket is empty."""
+    until = time.monotonic() + PROCESS_TIMEOUT_S
+    client, node = (f"{port:04X}" for port in (connection.getsockname()[1], connection.getpeername()[1]))
+    while True:
+        rows = [line.split() for line in Path("/proc/net/tcp").read_text().splitlines()[1:]]
+        queues = [row[4].split(":")[1] for row in rows
+                  if row[1].endswith(f":{node}") and row[2].endswith(f":{client}")]
+        if queues and int(queues[0], 16) == 0:
+            return
+        assert time.monotonic() < until, "the node did not read the request"
+        time.sleep(0.005)
+
+
+def send_to_the_old_process(site: Site, sent: bytes, used: bool = False) -> socket.socket:
+    """Start two processes and send bytes that the old one reads, on a new or a used connection."""
+    old = site.start_ready()
+    new = site.start_ready()
+    site.wait(old, "newer process serves")
+    site.nodes[new].send_signal(signal.SIGSTOP)  # the listener is shared: only the old one accepts
+    connection = socket.create_connection(("127.0.0.1", site.port), PROCESS_TIMEOUT_S)
+    if used:
+        connection.sendall(whole("r0"))
+        assert answer(connection).startswith(b"HTTP/1.1 200 ")
+    connection.sendall(sent)
+    wait_until_read(connection)
+    site.nodes[new].send_signal(signal.SIGCONT)
+    return connection
+
+
+def end_the_old_process(site: Site) -> None:
+    """Tell the old process to end, and wait until it has."""
+    site.nodes[OLD].send_signal(signal.SIGTERM)
+    assert site.nodes[OLD].wait(PROCESS_TIMEOUT_S) == 0
+
+
+@pytest.mark.parametrize("sent", [head("r1")[:-2]], ids=["head"])
+def test_the_time_for_a_request_goes_on_when_its_connection_is_handed_over(site: Site, sent: bytes) -> None:
+    """The newer process counted from the handover: callers that never finish were kept for too long."""
+    connection = send_to_the_old_process(site, sent)
+    sent_at = time.monotonic()
+    time.sleep(1.5)  # more than the time that is left between the node's limit and the bound
+    end_the_old_process(site)
+    assert answer(connection).startswith(b"HTTP/1.1 408 ")
+    assert time.monotonic() - sent_at < BAD_CLIENT_S
+    connection.close()
--- a/tests/takeover/test_messages.py
+++ b/tests/takeover/test_messages.py
@@ -26,7 +26,7 @@
 counts = st.integers(0, 2**31)
 messages: st.SearchStrategy[Message] = st.one_of(
     st.builds(Hello, counts), st.builds(Ending, counts), st.just(Ready()),
-    st.builds(Moved, st.booleans(), st.binary(max_size=300)),
+    st.builds(Moved, st.booleans(), counts, st.binary(max_size=300)),
 )
 
 
@@ -51,7 +51,7 @@
 @pytest.mark.parametrize(
     "data",
     [b"[]\n", b"null\n", b'{"note":"hello"}\n', b'{"note":"hello","held":-1}\n',
-     b'{"note":"ending","held":true}\n'],
+     b'{"note":"ending","held":true}\n', b'{"note":"moved","proven":true,"elapsed_us":-1}\n'],
 )
 def test_invalid_messages(data: bytes) -> None:
     with pytest.raises(InvalidMessage):
@@ -62,6 +62,10 @@
     assert decode(b'{"note":"later","held":"many"}\n') == Unknown()
 
 
+def test_a_connection_of_an_earlier_version_has_no_elapsed_time() -> None:
+    assert decode(b'{"note":"moved","proven":true}\nPOST') == Moved(True, 0, b"POST")
+
+
 @given(st.integers(64, 4096), st.integers(0, 4096))
 def test_two_processes_never_use_more_descriptors_than_the_limit(sockets: int, held: int) -> None:
     assert descriptor_share(sockets, shared=False, held=None) == sockets
@@ -77,7 +81,7 @@
     leg, caller = socket.socketpair()
     returned: list[Leg] = []
     peer = Peer(Loop(Clock(), lambda error: None), near, returned.append)
-    peer.hand_over(leg, True, b"POST")
+    peer.hand_over(leg, True, 0, b"POST")
     peer.close()
     assert [(sock, message.unread) for sock, message in returned] == [(leg, b"POST")]
     assert peer.idle
