A request read in part is handed over when the process is replaced

Cause: connections were handed over when idle or within a head, and kept within a body, with the caller's whole time: the limit for requests after the signal held only without a successor. Evidence: the job reached a server 1 ms after its last byte with X-Timeout 9.999, and the connection ended 2 ms after SIGKILL. Why it works: a connection within a body goes to the successor with the bytes read so far, which it parses again; nothing of the request has been forwarded by then. What does not fit in a message is answered by the old process before SIGKILL. The limit alone would have refused jobs that the successor can serve.

--- a/rushsaddle/net/caller.py
+++ b/rushsaddle/net/caller.py
@@ -135,20 +135,32 @@
         self.successor = successor
         self._on_phase_change()
 
+    @property
+    def incomplete_requests(self) -> int:
+        """Number of requests of which a part was read."""
+        return sum(leg.reading_request for leg in self.legs)
+
     @property
     def _handing_over(self) -> bool:
-        """Legs are handed over to the successor when between requests or within a request head."""
+        """Legs are handed over to the successor when between requests or within an incomplete one."""
         return self.successor is not None and self.lifecycle.phase is Phase.ENDING
 
-    def _hand_over(self, leg: Leg) -> None:
-        """Pass the descriptor to the successor; the leg ends here without closing the connection."""
+    def _hand_over(self, leg: Leg, until_us: int) -> bool:
+        """Pass the descriptor to the successor; the leg ends here without closing the connection.
+
+        ``until_us``: end of the time for its request.  False if the leg stays: no successor can take it.
+        """
+        if not self._handing_over or leg.evicted or self.loop.now_us() >= until_us:
+            return False
+        unread = leg.stream.unread
         assert self.successor is not None
+        if not self.successor.can_take(unread):
+            return False
         sock = leg.stream.sock
         self.loop.unregister(sock.fileno())
         elapsed_us = max(0, self.loop.now_us() - leg.request_since_us)
-        self.successor.hand_over(
-            socket.socket(fileno=sock.detach()), leg.proven, elapsed_us, leg.stream.h11.trailing_data[0]
-        )
+        self.successor.hand_over(socket.socket(fileno=sock.detach()), leg.proven, elapsed_us, unread)
+        return True
 
     def _evict(self) -> None:
         """Close legs to free descriptors; ``legs`` is in order of last use."""
@@ -178,7 +190,7 @@
             self.shutdown = ShutdownSchedule.from_signal(now, longest)
         if self._handing_over:
             for leg in self.legs:
-                if leg.idle or leg.reading_head:
+                if leg.idle or leg.reading_request:
                     self.wake(leg)
             return
         span = IDLE_CLOSE_SPAN_US.get(self.lifecycle.phase)
@@ -222,19 +234,16 @@
         leg.resumed = False
         until = leg.request_since_us + REQUEST_TIMEOUT_US
         try:
-            leg.reading_head = True
-            head, raw = (None, b"") if self._handing_over else (yield from stream.head(until))
-            leg.reading_head = False
+            head, raw = yield from self._head(leg, until)
             if isinstance(head, h11.ConnectionClosed):
                 return False
             if head is None:
-                if self._handing_over and not leg.evicted and self.loop.now_us() < until:
-                    self._hand_over(leg)
+                if self._hand_over(leg, until):
                     return False
                 raise BadRequest(408, "the request did not come whole")
             if why := ambiguous_framing(raw):
                 raise BadRequest(400, why)
-            return (yield from self._serve(leg, head, until))
+            return (yield from self._serve(leg, head, raw, until))
         except BadRequest as bad:
             status, text, close = bad.status, f"{bad}\n", bad.unread
         except h11.RemoteProtocolError as error:
@@ -268,7 +277,8 @@
             until = min(until, leg.close_us or max(since, self.serve_until_us) + DRAIN_IDLE_US)
         return until
 
-    def _serve(self, leg: Leg, head: Any, until_us: int) -> Coroutine[bool]:
+    def _serve(self, leg: Leg, head: Any, raw: bytes, until_us: int) -> Coroutine[bool]:
+        """Handle a request whose head was read; ``raw`` is the head and what was received after it."""
         stream = leg.stream
         headers: dict[bytes, bytes] = {}
         for name, value in head.headers:
@@ -303,7 +313,9 @@
         options = api.job_options(headers) if api is not None else None
         longest_s = api.longest_us / 1e6 if api is not None and options is not None else MAX_TIMEOUT_S
         job, wait_us = parse_job(headers, cls.number, self.tenants, longest_s)
-        body = yield from self._body(stream, until_us)
+        body = yield from self._body(leg, raw, until_us)
+        if body is None:
+            return False
         received = self.loop.now_us()
         name = headers[b"x-request-id"].decode("ascii")
         if api is None or options is None:
@@ -352,19 +364,51 @@
         if leg.task is not None:
             self.loop.wake(leg.task)
 
-    def _body(self, stream: Stream, until_us: int) -> Coroutine[bytes]:
-        if stream.h11.they_are_waiting_for_100_continue:
-            stream.put([h11.InformationalResponse(status_code=100, headers=[])])
-            if not (yield from stream.flush(until_us)):
-                raise BadRequest(408, "the request did not come whole")
+    def _head(self, leg: Leg, until_us: int) -> Coroutine[tuple[Any, bytes]]:
+        """The head of a request and its raw bytes; the head is None if the leg is to be handed over."""
+        if self._handing_over:
+            return None, b""
+        leg.reading_request = True
+        try:
+            return (yield from leg.stream.head(until_us))
+        finally:
+            leg.reading_request = False
+
+    def _body(self, leg: Leg, raw: bytes, until_us: int) -> Coroutine[bytes | None]:
+        """The body of a request; None if the leg was handed over with what was read of the request."""
+        leg.stream.start_recording(raw)
+        leg.reading_request = True
+        try:
+            return (yield from self._read_body(leg, until_us))
+        finally:
+            leg.reading_request = False
+            leg.stream.stop_recording()
+
+    def _read_body(self, leg: Leg, until_us: int) -> Coroutine[bytes | None]:
+        if not self._handing_over:
+            yield from self._send_continue(leg, until_us)
         body = bytearray()
-        while not isinstance(event := (yield from stream.next_event(until_us)), h11.EndOfMessage):
-            if event is None or self.loop.now_us() >= until_us:
+        while not self._hand_over(leg, until_us):
+            event = yield from leg.stream.next_event(until_us)
+            if isinstance(event, h11.EndOfMessage):
+                return bytes(body)
+            if self.loop.now_us() >= until_us or (event is None and leg.evicted):
                 raise BadRequest(408, "the request did not come whole")
-            body += event.data
+            if event is not None:
+                body += event.data
             if len(body) > MAX_BODY_BYTES:
                 raise BadRequest(413, "too long a body")
-        return bytes(body)
+        return None
+
+    def _send_continue(self, leg: Leg, until_us: int) -> Coroutine[None]:
+        """Ask for the body if the caller waits for that; not if it has sent a part of it."""
+        stream = leg.stream
+        if not stream.h11.they_are_waiting_for_100_continue or stream.h11.trailing_data[0]:
+            return
+        stream.put([h11.InformationalResponse(status_code=100, headers=[])])
+        while not (yield from stream.flush(until_us)):
+            if leg.evicted or self.loop.now_us() >= until_us:
+                raise BadRequest(408, "the request did not come whole")
 
     def reply(
         self, leg: Leg, status: int, body: bytes, extra: list[Header] | None = None, close: bool = False
--- a/rushsaddle/net/http.py
+++ b/rushsaddle/net/http.py
@@ -83,7 +83,8 @@
     """
 
     __slots__ = (
-        "_unsent", "ended", "h11", "incoming", "last_received_us", "loop", "outgoing", "received", "sock",
+        "_recorded", "_unsent", "ended", "h11", "incoming", "last_received_us", "loop", "outgoing",
+        "received", "sock",
     )
 
     def __init__(self, loop: Loop, sock: socket.socket, role: type[h11.CLIENT] | type[h11.SERVER]) -> None:
@@ -96,12 +97,26 @@
         self.last_received_us = loop.now_us()  # initially the time of creation
         self.received = 0  # bytes
         self._unsent = b""  # bytes that do not fit in the outgoing ring yet
+        self._recorded: bytearray | None = None  # raw bytes of the request being read
 
     def close(self) -> None:
         """Unregister the socket from the loop and close it."""
         self.loop.unregister(self.sock.fileno())
         self.sock.close()
 
+    def start_recording(self, raw: bytes) -> None:
+        """Keep ``raw`` and the bytes received from now on, so that another process can parse them again."""
+        self._recorded = bytearray(raw)
+
+    def stop_recording(self) -> None:
+        """Drop the recorded bytes."""
+        self._recorded = None
+
+    @property
+    def unread(self) -> bytes:
+        """What another process has to parse if it takes over the connection at this point."""
+        return self.h11.trailing_data[0] if self._recorded is None else bytes(self._recorded)
+
     def next_event(self, until_us: int) -> Coroutine[Any]:
         """The next h11 event, None if it returned early; raises OSError or h11.RemoteProtocolError."""
         while True:
@@ -133,7 +148,10 @@
         mask = yield Wait(self.sock.fileno(), select.EPOLLIN, until_us)
         self._receive()
         if self.ended or len(self.incoming):
-            self.h11.receive_data(self.incoming.read())
+            data = self.incoming.read()
+            self.h11.receive_data(data)
+            if self._recorded is not None:
+                self._recorded += data
         return bool(mask) and self.loop.now_us() < until_us
 
     def _receive(self) -> None:
--- a/rushsaddle/net/leg.py
+++ b/rushsaddle/net/leg.py
@@ -17,7 +17,7 @@
 class Leg:
     """A caller's connection and its state."""
 
-    __slots__ = ("close_us", "evicted", "idle", "idle_since_us", "opened_us", "proven", "reading_head",
+    __slots__ = ("close_us", "evicted", "idle", "idle_since_us", "opened_us", "proven", "reading_request",
                  "request_since_us", "resumed", "stream", "task")
 
     def __init__(self, stream: Stream, opened_us: int) -> None:
@@ -26,7 +26,7 @@
         self.proven = False  # it has sent a valid request
         self.idle = False  # waiting for the first byte of a request
         self.idle_since_us = 0  # start of the latest idle period
-        self.reading_head = False  # waiting for the rest of a request head
+        self.reading_request = False  # waiting for the rest of a request, of its head or its body
         self.request_since_us = opened_us  # the time for the request being read counts from here
         self.resumed = False  # its next request was begun at another process
         self.evicted = False  # selected for eviction
@@ -64,5 +64,8 @@
 class Successor(Protocol):
     """The process that replaces this one and takes over its caller connections, open."""
 
+    def can_take(self, unread: bytes) -> bool:
+        """Whether a connection with so many bytes of an incomplete request can be handed over."""
+
     def hand_over(self, sock: socket.socket, proven: bool, elapsed_us: int, unread: bytes) -> None:
         """Take a connection; ``elapsed_us`` of the time for its request, if any, have passed."""
--- a/rushsaddle/node.py
+++ b/rushsaddle/node.py
@@ -258,6 +258,10 @@
             if signal.SIGHUP in numbers:
                 self._reload()
             if (signal.SIGTERM in numbers or signal.SIGINT in numbers) and self.lifecycle.end():
+                self.log.event(
+                    "draining", legs=len(self.callers.legs),
+                    incomplete_requests=self.callers.incomplete_requests,
+                )
                 self.loop.spawn(self._drain())
 
     def _reload(self) -> None:
@@ -300,7 +304,6 @@
 
     def _drain(self) -> Coroutine[None]:
         """Accept pending connections, finish open requests, then stop."""
-        self.log.event("draining", legs=len(self.callers.legs))
         if self.waiting is not None:
             self.waiting.drain()
         if self.takeover is not None and self.takeover.successor is not None:
--- a/rushsaddle/takeover/messages.py
+++ b/rushsaddle/takeover/messages.py
@@ -10,7 +10,8 @@
 
 import orjson
 
-MAX_MESSAGE_BYTES = 160 * 1024  # the unread bytes are an incomplete request head, which is far smaller
+MAX_MESSAGE_BYTES = 160 * 1024  # an incomplete request, unless it comes in very small chunks
+MAX_UNREAD_BYTES = MAX_MESSAGE_BYTES - 1024  # leaves room for the line before them
 
 
 class InvalidMessage(Exception):
@@ -42,7 +43,7 @@
 
     proven: bool  # it has sent a valid request
     elapsed_us: int = 0  # of the time for the request that ``unread`` begins, or since the connect
-    unread: bytes = b""  # the beginning of its next request
+    unread: bytes = b""  # the beginning of its next request: the head, or the head and a part of the body
 
 
 @dataclass(slots=True, frozen=True)
--- a/rushsaddle/takeover/peer.py
+++ b/rushsaddle/takeover/peer.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 from ..core.loop import Coroutine, Loop, Task, Wait
-from .messages import MAX_MESSAGE_BYTES, Message, Moved, decode, encode
+from .messages import MAX_MESSAGE_BYTES, MAX_UNREAD_BYTES, Message, Moved, decode, encode
 
 Leg = tuple[socket.socket, Moved]
 
@@ -32,6 +32,10 @@
         """Queues a message."""
         self._put(message, None)
 
+    def can_take(self, unread: bytes) -> bool:
+        """Whether the unread bytes of a connection fit in a message."""
+        return len(unread) <= MAX_UNREAD_BYTES
+
     def hand_over(self, sock: socket.socket, proven: bool, elapsed_us: int, unread: bytes) -> None:
         """Queues a caller's connection, which belongs to the peer from here on."""
         self._put(Moved(proven, elapsed_us, unread), sock)
--- a/rushsaddle/takeover/service.py
+++ b/rushsaddle/takeover/service.py
@@ -63,12 +63,13 @@
         return True
 
     def _follow(self, predecessor: Peer) -> Coroutine[None]:
-        count = 0
+        count = incomplete = 0
         try:
             while (found := (yield from predecessor.receive())) is not None:
                 message, fds = found
                 if isinstance(message, Moved) and fds:
                     count += 1
+                    incomplete += bool(message.unread)
                     self.callers.adopt(
                         socket.socket(fileno=fds[0]), message.proven, message.elapsed_us, message.unread
                     )
@@ -83,7 +84,7 @@
             predecessor.close()
             self.predecessor = self._predecessor_held = None
             self.update_share()
-            self.log.event("older process gone", legs=count)
+            self.log.event("older process gone", legs=count, incomplete_requests=incomplete)
 
     def announce_ready(self) -> None:
         """Called once this process serves: the older one may end, and a newer one may connect."""
--- a/tests/takeover/test_incomplete_requests.py
+++ b/tests/takeover/test_incomplete_requests.py
@@ -26,6 +26,12 @@
     return head(name, "Content-Length: 4") + b"text"
 
 
+def chunks(body: bytes, size: int) -> bytes:
+    """The body in chunks of ``size`` bytes, with the last, empty one."""
+    pieces = [body[n : n + size] for n in range(0, len(body), size)]
+    return b"".join(b"%x\r\n%s\r\n" % (len(piece), piece) for piece in pieces) + b"0\r\n\r\n"
+
+
 def answer(connection: socket.socket) -> bytes:
     """The head and what came with it of one answer."""
     received = b""
@@ -72,7 +78,56 @@
     assert site.nodes[OLD].wait(PROCESS_TIMEOUT_S) == 0
 
 
-@pytest.mark.parametrize("sent", [head("r1")[:-2]], ids=["head"])
+BODY = b"x" * 30_000
+REQUESTS = {
+    "length": (head("r1", "Content-Length: 400") + b"x" * 400, 200),
+    "head only": (head("r1", "Content-Length: 400") + b"x" * 400, 400),
+    "most of a long body": (head("r1", "Content-Length: 60000") + b"x" * 60_000, 4_000),
+    "within a chunk": (head("r1", "Transfer-Encoding: chunked") + chunks(BODY, 7_000), 9_000),
+    "within a chunk's size": (head("r1", "Transfer-Encoding: chunked") + chunks(b"x" * 300, 300), 306),
+}
+
+
+@pytest.mark.parametrize("used", [True, False], ids=["used connection", "new connection"])
+@pytest.mark.parametrize("case", REQUESTS)
+def test_a_request_read_in_part_is_served_by_the_newer_process(site: Site, case: str, used: bool) -> None:
+    """The old process kept it, with the caller's whole time, and was killed before the answer."""
+    raw, last = REQUESTS[case]
+    connection = send_to_the_old_process(site, raw[:-last], used)
+    end_the_old_process(site)
+    connection.sendall(raw[-last:])
+    assert answer(connection).startswith(b"HTTP/1.1 200 ")
+    assert '"incomplete_requests":1' in site.log(OLD)
+    connection.close()
+
+
+def test_a_caller_that_waits_for_100_continue_is_served_by_the_newer_process(site: Site) -> None:
+    """The newer process reads the head again, and may ask for the body a second time."""
+    connection = send_to_the_old_process(site, head("r1", "Content-Length: 4", "Expect: 100-continue"))
+    assert answer(connection) == b"HTTP/1.1 100 \r\n\r\n"
+    end_the_old_process(site)
+    assert answer(connection) == b"HTTP/1.1 100 \r\n\r\n"
+    connection.sendall(b"te")
+    connection.sendall(b"xt")
+    assert answer(connection).startswith(b"HTTP/1.1 200 ")
+    connection.close()
+
+
+def test_a_request_too_large_for_a_message_is_answered_by_the_old_process(site: Site) -> None:
+    """Chunks of one byte: what was read takes six times the space of the body."""
+    raw = head("r1", "Transfer-Encoding: chunked") + chunks(BODY, 1)
+    connection = send_to_the_old_process(site, raw[:-100], used=True)
+    site.nodes[OLD].send_signal(signal.SIGTERM)
+    site.wait(OLD, '"draining"')
+    connection.sendall(raw[-100:])
+    assert answer(connection).startswith(b"HTTP/1.1 200 ")
+    assert site.nodes[OLD].wait(PROCESS_TIMEOUT_S) == 0
+    connection.sendall(whole("r2"))
+    assert answer(connection).startswith(b"HTTP/1.1 200 ")
+    connection.close()
+
+
+@pytest.mark.parametrize("sent", [head("r1", "Content-Length: 4"), head("r1")[:-2]], ids=["body", "head"])
 def test_the_time_for_a_request_goes_on_when_its_connection_is_handed_over(site: Site, sent: bytes) -> None:
     """The newer process counted from the handover: callers that never finish were kept for too long."""
     connection = send_to_the_old_process(site, sent)
