Requests during a start are read at once and held until the node can serve

Health checks and bad clients got nothing either. Cause: the listener is open while the node waits for its list, so the system accepts connections, but nobody read them; a request's time counts from when it is read. Evidence: no server saw a job in the first 6.2 s after the start, then 18 came within 4 ms, with X-Timeout 4.99 of 5 s up to 5.4 s after they were written. Why it works: connections are accepted and read from the first moment; a whole request is held until the node can serve, at most until 0.1 s before its caller stops waiting, then it gets 503. A newer process accepts once the older one is gone. Listening later would refuse connections on every start; answering 503 at once would refuse what can still be served.

--- a/rushsaddle/admin/metrics.py
+++ b/rushsaddle/admin/metrics.py
@@ -11,10 +11,14 @@
 
 
 def lines(
-    request_counters: RequestCounters, loop_delays: LoopDelays, class_names: Sequence[str], next_hops: int,
-    unhealthy: int,
+    request_counters: RequestCounters, held: int, loop_delays: LoopDelays, class_names: Sequence[str],
+    next_hops: int, unhealthy: int,
 ) -> list[str]:
-    """All metrics, of every class from the start on; ``unhealthy`` of the ``next_hops`` are not in use."""
+    """All metrics, of every class from the start on.
+
+    ``held``: requests that wait for the process to become able to serve; ``unhealthy`` of the ``next_hops``
+    are not in use.
+    """
     found = []
     for name, counts in zip(class_names, request_counters.classes, strict=True):
         for outcome in ("answered", "deferred", "errored"):
@@ -27,7 +31,8 @@
         f"node.loop.latest_timer_us:{loop_delays.latest_timer_us}|g",
     ]
     found += [
-        f"node.sends:{request_counters.sends}|c", f"node.current:{request_counters.current}|g",
+        f"node.sends:{request_counters.sends}|c", f"node.current:{request_counters.current + held}|g",
+        f"node.held:{held}|g",
         f"node.cluster_size:{next_hops}|g",
         f"node.cluster_unhealthy:{unhealthy}|g", END,
     ]
--- a/rushsaddle/core/lifecycle.py
+++ b/rushsaddle/core/lifecycle.py
@@ -36,6 +36,11 @@
         """True where the node should get new requests."""
         return self.phase is Phase.SERVING
 
+    @property
+    def started(self) -> bool:
+        """True once the process has become able to serve, also while it shuts down."""
+        return self._can_serve
+
     @property
     def can_serve(self) -> bool:
         """True where requests that still arrive are served, even on a paused node."""
--- a/rushsaddle/net/caller.py
+++ b/rushsaddle/net/caller.py
@@ -41,6 +41,7 @@
 from .listener import Listener
 from .nexthop import NextHops
 from .shutdown import ShutdownSchedule
+from .startup_hold import HoldOutcome, StartupHold
 
 IDLE_TIMEOUT_US = 75_000_000  # between two requests of a leg
 # Time for a whole request, the first counted from the connect, a later one from its start: valid callers on
@@ -77,13 +78,17 @@
         self.lifecycle = lifecycle
         self.shutdown: ShutdownSchedule | None = None  # set by the signal to end
         lifecycle.watch(self._on_phase_change)
+        self.startup = StartupHold(loop, lifecycle, self.wake)
+        self.max_retry_after_us = 0  # highest Retry-After of an answer during the start; 0: none is sent
         self._listener: Listener | None = None
         self._acceptor: Task | None = None
 
     # ------------------------------------------------------------ accepting
 
     def listen(self, listener: Listener) -> None:
-        """Accept connections from now on, and own the listener."""
+        """Accept connections from now on, and own the listener; no effect where that was done before."""
+        if self._acceptor is not None:
+            return
         self._listener = listener
         self._acceptor = self.loop.spawn(self._accept(listener))
 
@@ -204,7 +209,7 @@
     @property
     def serve_until_us(self) -> int:
         """End of the time for which an ending process without a successor goes on serving; else 0."""
-        if self.shutdown is None or self.successor is not None:
+        if self.shutdown is None or self.successor is not None or not self.lifecycle.started:
             return 0
         return self.shutdown.serve_until_us
 
@@ -323,9 +328,17 @@
             if (yield Wait(stream.sock.fileno(), select.EPOLLRDHUP, received)) & HANGUP:
                 self.log.event("left before its request was read", id=name)
                 return False
-        if name in self.decider.names_in_use or (api is not None and api.has_job(name)):
-            self.decider.request_counters.add_early_answer(cls.number, 409)
-            raise BadRequest(409, "X-Request-ID: the id of an open request", unread=False)
+        self._check_id(name, cls)
+        if not self.lifecycle.started:
+            leg.proven = True
+            caller_waits_us = cls.deadline_us if wait_us is None else wait_us
+            outcome = yield from self.startup.hold(leg, received + caller_waits_us)
+            if outcome is HoldOutcome.CALLER_LEFT:
+                self.log.event("left before the node could serve", id=name)
+                return False
+            if outcome is HoldOutcome.REJECT:
+                return (yield from self._reject_while_starting(leg, cls))
+            self._check_id(name, cls)
         payload = Request(name, head.method, head.target, end_to_end_headers(head.headers.raw_items()), body)
         leg.proven = True
         if api is not None and options is not None:
@@ -348,6 +361,18 @@
         )
         return (yield from self.await_answer(leg, transaction))
 
+    def _check_id(self, name: str, cls: ClassDeadline) -> None:
+        """Raises BadRequest if an open request or a deferred job has this id."""
+        api = self.jobs_api
+        if name in self.decider.names_in_use or (api is not None and api.has_job(name)):
+            self.decider.request_counters.add_early_answer(cls.number, 409)
+            raise BadRequest(409, "X-Request-ID: the id of an open request", unread=False)
+
+    def _reject_while_starting(self, leg: Leg, cls: ClassDeadline) -> Coroutine[bool]:
+        self.decider.request_counters.add_early_answer(cls.number, 503)
+        extra = retry_after(min(self.startup.retry_after_us, self.max_retry_after_us))
+        return (yield from self.reply(leg, 503, b"the node is starting\n", extra))
+
     def await_answer(self, leg: Leg, transaction: Transaction) -> Coroutine[bool]:
         """Wait for the final answer and send it; the transaction ends if the caller disconnects."""
         while transaction.answer is None:
--- a/rushsaddle/node.py
+++ b/rushsaddle/node.py
@@ -135,6 +135,8 @@
         self.callers = Callers(
             self.loop, self.log, self.decider, self.hops, classes, tenants, budget, self.lifecycle
         )
+        if limits.retry_after:
+            self.callers.max_retry_after_us = limits.max_retry_after_us or LIST_PROPAGATION_US
         self.deadline_us = max(c.deadline_us for c in settings.classes)
         self.config = node_config
         self.takeover: Takeover | None = None
@@ -177,15 +179,17 @@
         if self.peers is not None:
             self.loop.spawn(self.peers.run())
         self.loop.spawn(self._handle_signals(signals))
-        if self.takeover is not None and self.takeover.connect_to_predecessor():
+        if self.takeover is not None and self.takeover.connect_to_predecessor(lambda: self._listen(listen)):
             self.loop.spawn(self._serve_when(
                 listen, admin, SUCCESSOR_LIST_TIMEOUT_US, lambda: self.discovery.watching
             ))
         elif self.fleet is not None:
+            self._listen(listen)
             self.loop.spawn(self._serve_when(
                 listen, admin, self.fleet.first_list_timeout_us, self.fleet.has_list
             ))
         else:
+            self._listen(listen)
             # Older changes of the list count as known to the node from its start, whatever the configuration
             # file holds.  So requests are not sent by that possibly outdated list alone while the service can
             # be called.  The first call, including its time queued at the service, ends within
@@ -198,23 +202,29 @@
         self.log.event("stopped", code=self.code)
         return self.code
 
+    def _listen(self, listen: listener.Listener) -> None:
+        """Accept callers; their requests are held until the node can serve."""
+        if self.lifecycle.phase is not Phase.ENDING:
+            self.callers.listen(listen)
+
     def _serve(self, listen: listener.Listener, admin: str | None) -> None:
-        """Start accepting callers."""
-        self.callers.listen(listen)
+        """Start serving callers."""
+        held = len(self.callers.startup)
+        self._listen(listen)
         self.lifecycle.ready()
         if self.takeover is not None:
             self.takeover.announce_ready()
         rules = self.config.settings.rules
         self.log.event(
             "ready", listen=listen.name, door=admin, next_hops=len(self.hops.hops),
-            drain_grace_us=rules.drain_grace_us, must_ask_in_us=rules.must_ask_in_us,
+            drain_grace_us=rules.drain_grace_us, must_ask_in_us=rules.must_ask_in_us, held_requests=held,
         )
 
     def _serve_when(
         self, listen: listener.Listener, admin: str | None, longest_us: int, is_ready: Callable[[], bool]
     ) -> Coroutine[None]:
-        """Wait for the list of next hops, up to ``longest_us``, before accepting callers."""
-        until = self.loop.now_us() + longest_us
+        """Wait for the list of next hops, up to ``longest_us``, before serving callers."""
+        until = self.callers.startup.ready_by_us = self.loop.now_us() + longest_us
         while self.loop.now_us() < until and not is_ready():
             yield Wait(until_us=self.loop.now_us() + POLL_US)
         if self.lifecycle.phase is Phase.STARTING:
@@ -239,7 +249,10 @@
 
         def lines() -> list[str]:
             census = self.decider.dispatcher.worker_counts()
-            return metrics.lines(self.request_counters, self.loop_delays, self.config.class_names, *census)
+            held = len(self.callers.startup)
+            return metrics.lines(
+                self.request_counters, held, self.loop_delays, self.config.class_names, *census
+            )
 
         listen = listener.open_listener(address)
         AdminServer(self.loop, self.log, self.lifecycle, lines).listen(listen)
--- a/rushsaddle/takeover/service.py
+++ b/rushsaddle/takeover/service.py
@@ -49,8 +49,11 @@
 
     # ------------------------------------------------------------ the newer process
 
-    def connect_to_predecessor(self) -> bool:
-        """Connects to the older process; returns False if there is none."""
+    def connect_to_predecessor(self, on_gone: Callable[[], None]) -> bool:
+        """Connects to the older process; returns False if there is none.
+
+        ``on_gone`` is called once that process is gone: nobody else accepts callers then.
+        """
         sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET | socket.SOCK_NONBLOCK)
         try:
             sock.connect(str(self.path))
@@ -59,10 +62,10 @@
             return False
         self.predecessor = Peer(self.loop, sock, lambda leg: leg[0].close())
         self.update_share()
-        self.loop.spawn(self._follow(self.predecessor))
+        self.loop.spawn(self._follow(self.predecessor, on_gone))
         return True
 
-    def _follow(self, predecessor: Peer) -> Coroutine[None]:
+    def _follow(self, predecessor: Peer, on_gone: Callable[[], None]) -> Coroutine[None]:
         count = incomplete = 0
         try:
             while (found := (yield from predecessor.receive())) is not None:
@@ -85,6 +88,7 @@
             self.predecessor = self._predecessor_held = None
             self.update_share()
             self.log.event("older process gone", legs=count, incomplete_requests=incomplete)
+            on_gone()
 
     def announce_ready(self) -> None:
         """Called once this process serves: the older one may end, and a newer one may connect."""
--- /dev/null
+++ b/tests/test_startup.py
@@ -0,0 +1,277 @@
+"""Requests that arrive while a process starts and discovery fails: held, then served or rejected in time."""
+
+from __future__ import annotations
+
+import json
+import re
+import signal
+import socket
+import struct
+import threading
+import time
+from collections.abc import Iterator
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from measure.rig import PROCESS_TIMEOUT_S, UNREACHABLE_SERVICE, Node, wait_until
+from measure.site import Site
+
+LATE_S = 0.5  # an answer may come this long after its caller's time
+SLACK_S = 0.15  # the time given to a worker may exceed the caller's by this
+BAD_CLIENT_S = 3.0  # an invalid or incomplete request is answered within this time
+LINGER_RESET = struct.pack("ii", 1, 0)
+
+
+def request(name: str, timeout_s: float, *headers: str) -> bytes:
+    lines = ["POST /bulk-batch HTTP/1.1", "Host: n0", f"X-Request-ID: {name}", f"X-Timeout: {timeout_s}",
+             "Content-Length: 4", *headers]
+    return "\r\n".join(lines).encode() + b"\r\n\r\ntext"
+
+
+def read_head(connection: socket.socket) -> str:
+    """One head; its body, if any, is received with it."""
+    received = b""
+    while b"\r\n\r\n" not in received:
+        piece = connection.recv(65536)
+        assert piece, f"the connection ended after {received!r}"
+        received += piece
+    return received.decode()
+
+
+class Server:
+    """Accepts connections in a thread and answers each in a thread of its own."""
+
+    def __init__(self) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        with suppress(OSError):
+            while True:
+                connection = self.listener.accept()[0]
+                threading.Thread(target=self._guard, args=[connection], daemon=True).start()
+
+    def _guard(self, connection: socket.socket) -> None:
+        with suppress(OSError, AssertionError):
+            self.serve(connection)
+        connection.close()
+
+    def serve(self, connection: socket.socket) -> None:
+        raise NotImplementedError
+
+    def stop(self) -> None:
+        self.listener.close()
+
+
+class Worker(Server):
+    """Answers each request at once; ``seen`` has its id, the time, and the time that it was given."""
+
+    def __init__(self) -> None:
+        self.seen: list[tuple[str, float, float]] = []
+        super().__init__()
+
+    def serve(self, connection: socket.socket) -> None:
+        while True:
+            head = read_head(connection)
+            name, timeout = (re.search(rf"{key}: (.*)\r", head) for key in ("X-Request-ID", "X-Timeout"))
+            assert name is not None and timeout is not None
+            self.seen.append((name[1], time.monotonic(), float(timeout[1])))
+            line = json.dumps({"id": name[1], "state": "done", "result": "done"}).encode() + b"\n"
+            connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(line), line))
+
+
+class Discovery(Server):
+    """Discovery that fails each call, in one of three ways, until it is ``up``."""
+
+    def __init__(self, failure: str, targets: list[dict[str, Any]]) -> None:
+        self.failure = failure
+        self.targets = targets
+        self.up = threading.Event()
+        super().__init__()
+
+    def serve(self, connection: socket.socket) -> None:
+        read_head(connection)
+        if not self.up.is_set() and self.failure == "503":
+            connection.sendall(b"HTTP/1.1 503 Unavailable\r\nContent-Length: 0\r\n\r\n")
+        elif not self.up.is_set() and self.failure == "reset":
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+        elif not self.up.is_set():  # silent
+            connection.recv(1)
+        else:
+            line = json.dumps({"rev": 42, "all": True, "targets": self.targets}).encode() + b"\n"
+            connection.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            connection.sendall(b"%x\r\n%s\r\n" % (len(line), line))
+            connection.recv(1)
+
+
+class StartingNode:
+    """A node whose discovery fails, and its one worker; the node knows the worker from its configuration."""
+
+    def __init__(self, folder: Path, failure: str = "503", **operator: str) -> None:
+        self.worker = Worker()
+        target = {"uid": "s-0", "endpoint": self.worker.address, "az": "north", "model": "box",
+                  "pod_group": 0, "state": "ready", "capacity_hint": 1.0, "boot_ms": 0}
+        self.discovery = Discovery(failure, [target])
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            self.port = free.getsockname()[1]
+        known = {"rev": 41, "all": True, "targets": [target]}
+        address = UNREACHABLE_SERVICE if failure == "refused" else self.discovery.address
+        self.node = Node(
+            folder, address, operator, spawn=False, listen=f"127.0.0.1:{self.port}", known=known
+        )
+        self.node.spawn()
+        self.began = time.monotonic()
+
+    def connect(self) -> socket.socket:
+        """A connection, as soon as the node listens."""
+        until = time.monotonic() + PROCESS_TIMEOUT_S
+        while True:
+            try:
+                return socket.create_connection(("127.0.0.1", self.port), PROCESS_TIMEOUT_S)
+            except ConnectionRefusedError:
+                assert time.monotonic() < until and self.node.process.poll() is None
+                time.sleep(0.01)
+
+    def ask(self, raw: bytes) -> socket.socket:
+        connection = self.connect()
+        connection.sendall(raw)
+        return connection
+
+    @property
+    def ready(self) -> list[dict[str, Any]]:
+        return self.node.events("ready")
+
+    def stop(self) -> None:
+        self.node.kill()
+        self.worker.stop()
+        self.discovery.stop()
+
+
+@pytest.fixture
+def start(tmp_path: Path) -> Iterator[Any]:
+    started: list[StartingNode] = []
+
+    def start_node(failure: str = "503", **operator: str) -> StartingNode:
+        started.append(StartingNode(tmp_path, failure, **operator))
+        return started[-1]
+
+    yield start_node
+    for node in started:
+        node.stop()
+
+
+@pytest.mark.parametrize("failure", ["503", "reset", "silent"])
+def test_a_request_is_answered_in_its_time_though_discovery_fails_at_the_start(
+    start: Any, failure: str
+) -> None:
+    """It was read only after the wait for the list: no answer came in its caller's time."""
+    node = start(failure)
+    connection = node.ask(request("r1", 1.0))
+    sent_at = time.monotonic()
+    assert read_head(connection).startswith("HTTP/1.1 503 ")
+    assert time.monotonic() - sent_at < 1.0 + LATE_S
+    assert not node.ready and not node.worker.seen
+    connection.sendall(request("r2", 20.0))
+    sent_at = time.monotonic()
+    assert read_head(connection).startswith("HTTP/1.1 200 ")
+    [(name, at, given_s)] = node.worker.seen
+    assert name == "r2" and given_s <= 20.0 - (at - sent_at) + SLACK_S
+    assert node.ready[0]["held_requests"] == 1
+
+
+def test_a_held_request_is_served_as_soon_as_discovery_answers(start: Any) -> None:
+    """A node that starts rejects nobody whom it can still serve."""
+    node = start()
+    connection = node.ask(request("r1", 9.0))
+    sent_at = time.monotonic()
+    node.discovery.up.set()
+    assert read_head(connection).startswith("HTTP/1.1 200 ")
+    [(_, at, given_s)] = node.worker.seen
+    assert given_s <= 9.0 - (at - sent_at) + SLACK_S
+
+
+def test_a_node_whose_discovery_refuses_connections_serves_at_once(start: Any) -> None:
+    node = start("refused")
+    assert read_head(node.ask(request("r1", 9.0))).startswith("HTTP/1.1 200 ")
+
+
+def test_a_health_check_and_an_invalid_request_are_answered_during_the_start(start: Any) -> None:
+    """They waited for the list, too; bad clients are owed an answer within 3 s of their connection."""
+    node = start()
+    for raw, status in (
+        (b"GET /healthz HTTP/1.1\r\nHost: n0\r\n\r\n", 503),
+        (b"nothing of HTTP\r\n\r\n", 400),
+        (request("r1", 9.0)[:-1], 408),
+    ):
+        connection = node.ask(raw)
+        asked_at = time.monotonic()
+        assert read_head(connection).startswith(f"HTTP/1.1 {status} ")
+        assert time.monotonic() - asked_at < BAD_CLIENT_S
+    assert not node.ready
+
+
+def test_a_held_request_is_rejected_when_the_process_ends_before_it_could_serve(start: Any) -> None:
+    """Its connection was reset."""
+    node = start()
+    connection = node.ask(request("r1", 9.0))
+    with node.connect() as probe:  # answered after the first connection was read
+        probe.sendall(b"GET /healthz HTTP/1.1\r\nHost: n0\r\n\r\n")
+        read_head(probe)
+    node.node.process.send_signal(signal.SIGTERM)
+    head = read_head(connection)
+    assert head.startswith("HTTP/1.1 503 ") and "Connection: close" in head
+    connection.close()
+    assert node.node.process.wait(PROCESS_TIMEOUT_S) == 0
+    assert not node.worker.seen
+
+
+def test_a_held_request_whose_caller_has_left_is_not_forwarded(start: Any) -> None:
+    node = start()
+    node.ask(request("r1", 9.0)).close()
+    stays = node.ask(request("r2", 9.0))
+    wait_until("the caller's end is seen", lambda: node.node.events("left before the node could serve")
+               or node.node.events("left before its request was read"))
+    node.discovery.up.set()
+    assert read_head(stays).startswith("HTTP/1.1 200 ")
+    assert [name for name, _, _ in node.worker.seen] == ["r2"]
+
+
+def test_of_two_held_requests_with_one_id_only_one_is_served(start: Any) -> None:
+    node = start()
+    connections = [node.ask(request("r1", 9.0)) for _ in range(2)]
+    node.discovery.up.set()
+    statuses = sorted(read_head(connection).split()[1] for connection in connections)
+    assert statuses == ["200", "409"] and len(node.worker.seen) == 1
+
+
+def test_a_deferred_request_is_held_like_any_other(start: Any) -> None:
+    """Released before there is a list, it would be sent by the saved one."""
+    node = start(RUSHSADDLE_WAITING__ENABLED="true")
+    connection = node.ask(request("r1", 9.0, f"X-Not-Before: {time.time() + 0.2:.3f}"))
+    time.sleep(0.6)  # its time has come
+    assert not node.worker.seen and not node.ready
+    node.discovery.up.set()
+    assert read_head(connection).startswith("HTTP/1.1 200 ")
+
+
+def test_a_newer_process_answers_when_the_older_one_dies_before_it_is_ready(site: Site) -> None:
+    """Nobody accepted connections until its wait for the list was over."""
+    mute = socket.create_server(("127.0.0.1", 0))  # a discovery service that never answers
+    config = json.loads((site.folder / "config.json").read_text())
+    config["discovery"] = f"127.0.0.1:{mute.getsockname()[1]}"
+    (site.folder / "mute.json").write_text(json.dumps(config))
+    old = site.start_ready()
+    new = site.start("mute.json")
+    site.wait(new, '"older process"')
+    site.nodes[old].kill()
+    site.nodes[old].wait()
+    with socket.create_connection(("127.0.0.1", site.port), PROCESS_TIMEOUT_S) as connection:
+        connection.sendall(request("r1", 0.3))
+        sent_at = time.monotonic()
+        assert read_head(connection).startswith("HTTP/1.1 503 ")
+        assert time.monotonic() - sent_at < 0.3 + LATE_S
+    mute.close()
