The end of a replaced discovery service is no failure of the new one

What callers saw: nothing; after a move of discovery in which the old service ended in the same moment, the new one was called up to 0.2 s late, and its first failure counted as the second. Cause: a call or watch that ended with an error counted for whatever service was configured by then; the generation was compared only from the back-off on. Evidence: with the configuration as a pipe the node stands still between signal and change; the old service ends or answers 503 there, and the log has 'discovery failed' after 'configuration read'. Why it works: an error of a call that was made to a replaced service is logged as such, and the new one is called at once.

--- a/rushsaddle/net/discovery.py
+++ b/rushsaddle/net/discovery.py
@@ -129,14 +129,17 @@
             # Where lists are pushed, a watch is always open, and costs the service nothing.
             while not (self._pending_calls or retry.outdated or retry.pushed):
                 yield Wait()
+            generation = self._generation
             try:
-                yield from self._watch(self._generation)
+                yield from self._watch(generation)
             except Exception as error:
+                if generation != self._generation:  # it says nothing about the service that is called next
+                    self.log.error("replaced discovery service failed", error)
+                    continue
                 self.log.error("discovery failed", error)
                 self._reached = not isinstance(error, ServiceUnreachable | ServiceSilent)
                 # Retry until the list is received, which answers all pending subscriptions.
                 until = self.loop.now_us() + retry.wait_us(self.loop.now_us(), self._reached, self.draw())
-                generation = self._generation
                 while generation == self._generation and self.loop.now_us() < until:
                     yield Wait(until_us=until)  # a new subscription waits, too; a new service does not
 
@@ -158,6 +161,8 @@
                 if self.loop.now_us() >= until:
                     raise ServiceUnreachable("no connection in time")
             code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if generation != self._generation:
+                return
             if code:
                 raise ServiceUnreachable(errno.errorcode.get(code, "connect"))
             if self.observer is not None:
