What a replaced discovery service tells last is not the new one's list

Cause: the woken watch reads what has arrived before it looks whether its service was replaced. The line ended the state 'a new service is to be called' and answered the pending subscription; then the watch closed, and nothing asked again. Evidence: 'configuration read', then 'list' with a version of the old service, then nothing; no call of the new service. Why it works: after each wait the watch looks whether it is still wanted. What has arrived is applied, since it counts as told (dropped, a drain in it would be unknown until the new service answers), but answers nothing and ends no state. The versions of the old service are forgotten with the new one's first list.

--- a/rushsaddle/net/discovery.py
+++ b/rushsaddle/net/discovery.py
@@ -15,7 +15,7 @@
 
 from tansygw.interface import Event, ListKind, WorkerList
 
-from ..core.departures import Departures
+from ..core.departures import Departures, Entries
 from ..core.list_entries import MAX_LIST_BYTES, Address, EntryReader
 from ..core.log import Log
 from ..core.loop import Coroutine, Loop, Task, Wait
@@ -115,7 +115,7 @@
             if self.observer is not None:
                 self.observer.on_service_change(f"{address[0]}:{address[1]}")
             self._new_service = True
-            self.departures.reset_version()
+            self.log.event("discovery service changed", to=f"{address[0]}:{address[1]}")
             self.retry.service_changed(self.loop.now_us())
             self._wake()
 
@@ -178,6 +178,9 @@
                     event = None
                 else:
                     event = yield from stream.next_event(deadline)
+                if generation != self._generation:
+                    self._apply_from_replaced_service(event, stream, objects)
+                    return
                 if event is None:  # woken by a subscription or a new service, or timed out
                     if self.loop.now_us() >= deadline:
                         self.retry.connection_silent(last_received)
@@ -204,6 +207,22 @@
                 self.observer.on_disconnect()
             stream.close()
 
+    def _apply_from_replaced_service(self, event: Any, stream: Stream, objects: JsonSplitter) -> None:
+        """Apply what had arrived from a service when it was replaced, from ``event`` on.
+
+        Its changes have been told to this node, but do not replace the list of the new service, which is
+        still to be called and answers pending subscriptions.
+        """
+        while isinstance(event, h11.Data | h11.Response | h11.InformationalResponse):
+            if isinstance(event, h11.Response) and event.status_code != 200:
+                return
+            if isinstance(event, h11.Data):
+                for fields in objects.feed(bytes(event.data)):
+                    kind = ListKind.COMPLETE if fields.get("all") else ListKind.CHANGES
+                    _, entries = self._read(fields)
+                    self._update(kind, entries, int(fields["rev"]), replaced=True)
+            event = stream.h11.next_event()
+
     def apply_forwarded(self, fields: Any, by: str) -> None:
         """Apply a complete list that another node forwarded, newer than ours."""
         self._apply(fields, ListKind.COMPLETE, by)
@@ -212,11 +231,7 @@
         """Apply a list or its changes, from the service or, if ``by`` is set, from another node."""
         if kind is ListKind.CHANGES and fields.get("all"):
             kind = ListKind.COMPLETE
-        unread: list[str] = []
-        entries = self.names.entries(fields["targets"], unread)
-        if unread:
-            self.log.event("malformed list entries skipped", count=len(unread), first=unread[0])
-            fields = {**fields, "targets": [t for t in fields["targets"] if _is_readable(t)]}
+        fields, entries = self._read(fields)
         if self.observer is not None and not by:
             if kind is ListKind.SAVED:
                 self.observer.on_saved(fields)
@@ -225,14 +240,28 @@
         version = int(fields["rev"])
         if version < self.version and not self._new_service:
             self.log.event("older list received", version=version, after=self.version)
+        if self._new_service:  # each service numbers its lists on its own
+            self.departures.reset_version()
         self.version = version
         self._new_service = False
+        self._update(kind, entries, version, **({"by": by} if by else {}))
+
+    def _read(self, fields: Any) -> tuple[Any, Entries]:
+        """A list without its malformed entries, and the others."""
+        malformed: list[str] = []
+        entries = self.names.entries(fields["targets"], malformed)
+        if malformed:
+            self.log.event("malformed list entries skipped", count=len(malformed), first=malformed[0])
+            fields = {**fields, "targets": [t for t in fields["targets"] if _is_readable(t)]}
+        return fields, entries
+
+    def _update(self, kind: ListKind, entries: Entries, version: int, **more: Any) -> None:
+        """Pass a list to the next hops and to the decisions; ``more``: fields of the log event."""
         before = set(self.departures.departed)
         entries = self.departures.apply_list(
             self.loop.now_us(), entries, kind is not ListKind.CHANGES, version
         )
         self.hops.update_list(kind is not ListKind.CHANGES, entries)
-        more: dict[str, Any] = {"by": by} if by else {}
         after = self.departures.departed
         for name, uids in (
             ("leaving", [uid for uid in after if uid not in before]),
@@ -240,8 +269,8 @@
         ):
             if uids:
                 more[name] = uids
-        self.log.event("list", kind=kind, version=self.version, entries=len(entries), **more)
-        self.put(WorkerList(kind, tuple(entry for entry, _ in entries), self.version))
+        self.log.event("list", kind=kind, version=version, entries=len(entries), **more)
+        self.put(WorkerList(kind, tuple(entry for entry, _ in entries), version))
 
 
 def _is_readable(target: Any) -> bool:
--- a/tests/test_discovery_move.py
+++ b/tests/test_discovery_move.py
@@ -6,6 +6,7 @@
 import os
 import re
 import socket
+from typing import Any
 
 import pytest
 
@@ -72,12 +73,70 @@
     def says(self, text: str) -> None:
         self.player.execute(["node", "says", *text.split(" ")], "")
 
+    def request_reaches(self, hop: str, name: str) -> None:
+        """Send a request, which arrives at this next hop; leave it open."""
+        self.player.execute([name, "opens"], "")
+        lines = ["POST /bulk-batch HTTP/1.1", "Host: n0", f"X-Request-ID: {name}", "Content-Length: 0"]
+        self.player.open[name].sendall("\r\n".join([*lines, "", ""]).encode())
+        self.player.execute([f"{name} at {hop}", "accepts", hop], "")
+
 
 @pytest.fixture
 def move(player: Player) -> Move:
     return Move(player)
 
 
+CROSSINGS: dict[str, Any] = {
+    "a change": lambda move: move.line(43, h1="draining"),
+    "changes in several pieces": lambda move: (
+        move.line(43, h2="draining") + move.line(44, h2="ready") + move.line(45, h1="draining")
+    ),
+    "a whole list": lambda move: move.line(43, complete=True, h1="draining", h2="ready"),
+    "an empty line": lambda move: b"1\r\n\n\r\n",
+    "half a line": lambda move: move.line(43, h1="draining")[:-20],
+}
+
+
+@pytest.mark.parametrize("crossing", CROSSINGS)
+def test_the_new_service_is_called_though_the_old_one_sends_as_it_is_left(move: Move, crossing: str) -> None:
+    """The old service's line counted as the new one's list: the node followed no list from then on."""
+    move.follow()
+    move.move(CROSSINGS[crossing](move))
+    new, target = move.accept_call("discovery2")
+    assert target == "/v1/servers?watch=1"  # versions of the old service mean nothing to the new one
+    new.sendall(HEAD + move.line(7, complete=True, h1="draining", h2="ready"))
+    move.says('"kind":"complete","version":7')
+    move.request_reaches("h2", "r1")
+    new.close()
+
+
+@pytest.mark.parametrize("crossing", ["a change", "changes in several pieces", "a whole list"])
+def test_what_the_old_service_told_last_holds_until_the_new_one_answers(move: Move, crossing: str) -> None:
+    """The change was written to the node, so it counts, even if the new service does not answer for long."""
+    move.follow()
+    move.move(CROSSINGS[crossing](move))
+    new, _ = move.accept_call("discovery2")  # and stays silent
+    move.says('"leaving":["s-h1"]')
+    for name in ("r1", "r2"):
+        move.request_reaches("h2", name)
+    # A lower version of the new service is no older list: it brings the next hop back.
+    new.sendall(HEAD + move.line(7, complete=True, h1="ready"))
+    move.says('"back":["s-h1"]')
+    move.request_reaches("h1", "r9")
+    new.close()
+
+
+def test_the_new_service_is_called_though_the_old_one_sends_its_first_list_as_it_is_left(move: Move) -> None:
+    """The list answered the decisions' subscription, so that nobody asked the new service for one."""
+    move.old.sendall(HEAD)
+    player = move.player
+    player.execute(["node", "says", '"event":"list"'], "")
+    move.move(move.line(43, complete=True, h1="ready", h2="ready"))
+    new, target = move.accept_call("discovery2")
+    assert target == "/v1/servers?watch=1"
+    new.close()
+
+
 @pytest.mark.parametrize("answered", [True, False])
 def test_the_end_of_the_old_service_says_nothing_about_the_new_one(move: Move, answered: bool) -> None:
     """The failure counted as one of the new service, which was called only after a back-off."""
