The rig draws members' public and own addresses apart

Cause: free_places drew one of 104 nets for each set and closed its sockets again, so the second draw could not see the first. The same holds for the simulated members of measure/mixed.py. Why it works: a draw names the addresses drawn before, and takes none of their nets; none left is an error.

--- a/measure/link.py
+++ b/measure/link.py
@@ -16,18 +16,33 @@
 import socket
 import subprocess
 import sys
+from collections.abc import Collection
 from pathlib import Path
 from random import Random
 from typing import Any
 
 PORT = 7400
+NETS = range(16, 120)  # second octets of the loopback addresses that are drawn
 
 
-def free_places(count: int) -> list[str]:
+def net_of(place: str) -> int:
+    """The second octet of an address."""
+    return int(place.split(".")[1])
+
+
+def free_places(count: int, taken: Collection[str] = ()) -> list[str]:
     """Free addresses for both UDP and TCP, each on a loopback IP of its own, so that no outgoing connection
-    can take the port in the meantime."""
+    can take the port in the meantime.
+
+    ``taken``: addresses drawn before, whose owners may not have bound them yet; the new ones share no net
+    with them.  Raises ValueError if no net is left.
+    """
+    taken_nets = {net_of(place) for place in taken}
+    nets = [net for net in NETS if net not in taken_nets]
+    if not nets:
+        raise ValueError("no net is left for more addresses")
     while True:
-        net = random.randrange(16, 120)
+        net = random.choice(nets)
         found = [f"127.{net}.{n // 250}.{n % 250 + 1}" for n in range(count)]
         held: list[socket.socket] = []
         try:
@@ -47,7 +62,7 @@
     """Starts and controls the relay process."""
 
     def __init__(self, folder: Path, own: list[str], seed: int = 1) -> None:
-        self.public = free_places(len(own))
+        self.public = free_places(len(own), taken=own)
         file = folder / "link.json"
         file.write_text(json.dumps({"places": list(zip(self.public, own, strict=True)), "seed": seed}))
         self.process = subprocess.Popen(
--- a/measure/mixed.py
+++ b/measure/mixed.py
@@ -249,7 +249,8 @@
             for node in self.fleet.start(real, group=real + hollow, spawn=False):
                 node.operator["RUSHSADDLE_FLEET__PATIENCE"] = "1ms"  # there is no list service to wait for
                 node.spawn()
-            self.simulated_places = free_places(hollow)
+            # The processes may not have bound their addresses yet.
+            self.simulated_places = free_places(hollow, taken=[*self.fleet.places, *self.fleet.bind_places])
             self.simulator = SimulatorProcess(folder, MixedConfig(
                 self.fleet.key.decode(), 1, self.fleet.places[:3], self.fleet.places, self.simulated_places,
             ))
