A list kept current by its changes is a class of its own

Cause: the list in discovery's format is needed apart from the members' rules on which list is newer. Change: core/target_set.py has the entries and the version; fleet/target_list.py builds on it. Nothing else is changed.

--- a/rushsaddle/fleet/target_list.py
+++ b/rushsaddle/fleet/target_list.py
@@ -12,21 +12,21 @@
 from collections.abc import Mapping
 from typing import Any
 
+from ..core.target_set import TargetSet
 from .wire import Stamp
 
 MAX_PROPAGATION_US = 4_000_000  # for a change to reach an open watch, whose empty lines come every 2 s
 
 
-class TargetList:
-    """One node's target list; ``targets`` holds the service's entries by uid, without those that are gone."""
+class TargetList(TargetSet):
+    """One node's target list, and of which service and life it is."""
 
     def __init__(self, service: str) -> None:
+        super().__init__()
         self.service = service
         self.era = 0
-        self.rev = 0
         self.loaded = False  # there is a list of this service
         self.direct = False  # kept up to date by an open watch
-        self.targets: dict[str, Mapping[str, Any]] = {}
         self._call_stamp = (0, 0)  # era and version when the current call began
         self._lag: tuple[int, int] | None = None  # since when others hold a higher version, and which
 
@@ -37,7 +37,7 @@
 
     def on_saved(self, fields: Mapping[str, Any]) -> None:
         """Loads the list known before this start; an empty list of version 0 means that there was none."""
-        self._put(fields, whole=True)
+        self.put(fields, whole=True)
         self.loaded = bool(self.targets) or self.rev > 0
 
     def on_call(self) -> None:
@@ -53,7 +53,7 @@
                 return False
             self.era += 1
         if whole or self.loaded:
-            self._put(fields, whole)
+            self.put(fields, whole)
             self.loaded = True
         self._call_stamp = (self.era, self.rev)
         self.direct = True
@@ -97,21 +97,6 @@
         """Applies a list that a member passed on; returns False if it is not newer any more."""
         if not self.should_fetch(now, theirs) or int(fields["rev"]) != theirs.rev:
             return False
-        self._put(fields, whole=True)
+        self.put(fields, whole=True)
         self.era, self.loaded = theirs.era, True
         return True
-
-    def whole(self) -> dict[str, Any]:
-        """The whole list, in the service's format."""
-        return {"rev": self.rev, "all": True, "targets": list(self.targets.values())}
-
-    def _put(self, fields: Mapping[str, Any], whole: bool) -> None:
-        if whole:
-            self.targets = {}
-        for target in fields["targets"]:
-            uid = str(target["uid"])
-            if target["state"] == "gone":
-                self.targets.pop(uid, None)
-            else:
-                self.targets[uid] = target
-        self.rev = int(fields["rev"])
