The older process passes on the list that it follows

Cause: the two processes pass on connections and descriptors, not the list; the newer one serves by the one in its configuration. Why it works: the older process sends its list when a newer one connects, and every change of it from then on; the newer one applies it as the saved list until a list of discovery has come. Another service's versions are not taken for its own.

--- a/rushsaddle/net/discovery.py
+++ b/rushsaddle/net/discovery.py
@@ -72,6 +72,8 @@
         self.retry = retry
         self.departures = departures
         self.observer: ListObserver | None = None
+        # called with each list that is applied, and whether it is whole
+        self.on_applied: Callable[[Any, bool], None] = lambda fields, whole: None
         self.version = 0
         self._pending_calls = 0  # subscriptions without an answer
         self._watching = False  # the open watch has received its first list
@@ -79,6 +81,7 @@
         self._generation = 0  # number of times that the service was replaced
         # The service has sent nothing yet: it could take our version for one of its own.
         self._new_service = False
+        self._listed = False  # a list was received since the start
         self._task: Task | None = None
 
     @property
@@ -86,6 +89,11 @@
         """A watch is open and has received the list."""
         return self._watching
 
+    @property
+    def list_service(self) -> str:
+        """The service that the version of the list is of; empty if it was replaced since."""
+        return "" if self._new_service else f"{self.address[0]}:{self.address[1]}"
+
     @property
     def list_resolved(self) -> bool:
         """The list was received, or the service is unreachable.
@@ -219,14 +227,33 @@
             if isinstance(event, h11.Data):
                 for fields in objects.feed(bytes(event.data)):
                     kind = ListKind.COMPLETE if fields.get("all") else ListKind.CHANGES
-                    _, entries = self._read(fields)
+                    fields, entries = self._read(fields)
                     self._update(kind, entries, int(fields["rev"]), replaced=True)
+                    self.on_applied(fields, kind is ListKind.COMPLETE)
             event = stream.h11.next_event()
 
     def apply_forwarded(self, fields: Any, by: str) -> None:
         """Apply a complete list that another node forwarded, newer than ours."""
         self._apply(fields, ListKind.COMPLETE, by)
 
+    def apply_inherited(self, fields: Any, service: str) -> None:
+        """Apply the whole list that the process being replaced follows, unless one was received here.
+
+        ``service``: the one that its version is of.
+        """
+        if self._listed:
+            return
+        if service and service == self.list_service:
+            self._apply(fields, ListKind.SAVED)
+            return
+        fields, entries = self._read(fields)
+        self._update(ListKind.SAVED, entries, self.departures.newest, service=service)
+        self.on_applied(fields, True)
+        if not self._new_service:  # only a whole list of our service is a base for its changes
+            self._new_service = True
+            self._generation += 1
+            self._wake()
+
     def _apply(self, fields: Any, kind: ListKind, by: str = "") -> None:
         """Apply a list or its changes, from the service or, if ``by`` is set, from another node."""
         if kind is ListKind.CHANGES and fields.get("all"):
@@ -244,7 +271,9 @@
             self.departures.reset_version()
         self.version = version
         self._new_service = False
+        self._listed = self._listed or kind is not ListKind.SAVED
         self._update(kind, entries, version, **({"by": by} if by else {}))
+        self.on_applied(fields, kind is not ListKind.CHANGES)
 
     def _read(self, fields: Any) -> tuple[Any, Entries]:
         """A list without its malformed entries, and the others."""
--- a/rushsaddle/node.py
+++ b/rushsaddle/node.py
@@ -237,7 +237,8 @@
             return RESERVED_DESCRIPTORS + len(self.callers.legs) + self.hops.open
 
         return Takeover(
-            self.loop, self.log, folder, self.callers, lambda: self.config.sockets, self._resize, held
+            self.loop, self.log, folder, self.callers, lambda: self.config.sockets, self._resize, held,
+            self.discovery,
         )
 
     def _resize(self, sockets: int) -> None:
--- a/rushsaddle/takeover/messages.py
+++ b/rushsaddle/takeover/messages.py
@@ -7,11 +7,13 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Any
 
 import orjson
 
 MAX_MESSAGE_BYTES = 160 * 1024  # an incomplete request, unless it comes in very small chunks
 MAX_UNREAD_BYTES = MAX_MESSAGE_BYTES - 1024  # leaves room for the line before them
+MAX_TARGETS_BYTES = 64 * 1024  # of the entries in one message
 
 
 class InvalidMessage(Exception):
@@ -46,12 +48,23 @@
     unread: bytes = b""  # the beginning of its next request: the head, or the head and a part of the body
 
 
+@dataclass(slots=True, frozen=True)
+class ListPart:
+    """A part of the list that the older process follows, or of a change of it."""
+
+    service: str  # address of the service that the version is of; empty if that was replaced
+    version: int
+    whole: bool  # the list is complete, else its changes
+    last: bool  # nothing more of this list or change follows
+    targets: list[Any]  # entries in the service's format
+
+
 @dataclass(slots=True, frozen=True)
 class Unknown:
     """A message of a later version, to be ignored."""
 
 
-Message = Hello | Ready | Ending | Moved | Unknown
+Message = Hello | Ready | Ending | Moved | ListPart | Unknown
 
 
 def encode(message: Message) -> bytes:
@@ -63,6 +76,10 @@
     elif isinstance(message, Moved):
         fields["proven"], fields["elapsed_us"] = message.proven, message.elapsed_us
         rest = message.unread
+    elif isinstance(message, ListPart):
+        fields = {"note": "list", "service": message.service, "version": message.version,
+                  "whole": message.whole, "last": message.last}
+        rest = orjson.dumps(message.targets)
     return orjson.dumps(fields) + b"\n" + rest
 
 
@@ -77,6 +94,8 @@
         if kind in ("hello", "ending"):
             held = _count("held", fields["held"])
             return Hello(held) if kind == "hello" else Ending(held)
+        if kind == "list":
+            return _list_part(fields, orjson.loads(rest))
         if kind == "ready":
             return Ready()
         if kind == "moved":
@@ -86,6 +105,15 @@
     return Unknown()
 
 
+def _list_part(fields: Any, targets: Any) -> ListPart:
+    service, version = fields["service"], _count("version", fields["version"])
+    if not isinstance(service, str) or not isinstance(targets, list):
+        raise InvalidMessage("service must be a text, and the entries a list")
+    if not all(isinstance(target, dict) and "uid" in target and "state" in target for target in targets):
+        raise InvalidMessage("an entry must have uid and state")
+    return ListPart(service, version, fields["whole"] is True, fields["last"] is True, targets)
+
+
 def _count(name: str, value: object) -> int:
     if not isinstance(value, int) or isinstance(value, bool) or value < 0:
         raise InvalidMessage(f"{name} must be a non-negative integer, not {value!r}")
--- a/rushsaddle/takeover/service.py
+++ b/rushsaddle/takeover/service.py
@@ -9,14 +9,18 @@
 import os
 import select
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
 from contextlib import suppress
 from pathlib import Path
+from typing import Any
 
 from ..core.log import Log
 from ..core.loop import Coroutine, Loop, Wait
+from ..core.target_set import TargetSet
 from ..net.caller import Callers
-from .messages import Ending, Hello, InvalidMessage, Moved, Ready, descriptor_share
+from ..net.discovery import Discovery
+from .followed_list import ReceivedList, split
+from .messages import Ending, Hello, InvalidMessage, ListPart, Moved, Ready, descriptor_share
 from .peer import Leg, Peer
 
 SOCKET_NAME = "rushsaddle.sock"
@@ -28,7 +32,7 @@
 
     def __init__(
         self, loop: Loop, log: Log, folder: Path, callers: Callers, sockets: Callable[[], int],
-        resize: Callable[[int], None], held: Callable[[], int],
+        resize: Callable[[int], None], held: Callable[[], int], discovery: Discovery,
     ) -> None:
         self.loop = loop
         self.log = log
@@ -41,6 +45,9 @@
         self.predecessor: Peer | None = None
         self._candidates: dict[Peer, None] = {}  # connected newer processes, ready or not
         self._predecessor_held: int | None = None  # descriptors of the older process once it ends
+        self.discovery = discovery
+        self._list = TargetSet()  # as this process follows it
+        discovery.on_applied = self._on_list
 
     def update_share(self) -> None:
         """Recomputes this process's share of the descriptors."""
@@ -67,6 +74,7 @@
 
     def _follow(self, predecessor: Peer, on_gone: Callable[[], None]) -> Coroutine[None]:
         count = incomplete = 0
+        received = ReceivedList()
         try:
             while (found := (yield from predecessor.receive())) is not None:
                 message, fds = found
@@ -76,6 +84,9 @@
                     self.callers.adopt(
                         socket.socket(fileno=fds[0]), message.proven, message.elapsed_us, message.unread
                     )
+                elif isinstance(message, ListPart):
+                    if (fields := received.add(message)) is not None:
+                        self.discovery.apply_inherited(fields, message.service)
                 elif isinstance(message, Hello):
                     self.log.event("older process", held=message.held)
                 elif isinstance(message, Ending):
@@ -126,6 +137,7 @@
         self._candidates[candidate] = None
         self.update_share()
         candidate.send(Hello(self.held()))
+        self._send_list([candidate], self._list.whole(), whole=True)
         try:
             while (found := (yield from candidate.receive())) is not None:
                 message, fds = found
@@ -146,6 +158,16 @@
             self.update_share()
             self.log.event("newer process gone")
 
+    def _on_list(self, fields: Mapping[str, Any], whole: bool) -> None:
+        """A list, or its changes, was applied here: newer processes may not be told of it themselves."""
+        self._list.put(fields, whole)
+        self._send_list(self._candidates, fields, whole)
+
+    def _send_list(self, candidates: Iterable[Peer], fields: Mapping[str, Any], whole: bool) -> None:
+        for candidate in candidates:
+            for part in split(self.discovery.list_service, fields, whole):
+                candidate.send(part)
+
     def _take_back(self, leg: Leg) -> None:
         """Keeps a leg that the successor did not receive before it ended."""
         sock, message = leg
--- a/tests/takeover/test_messages.py
+++ b/tests/takeover/test_messages.py
@@ -13,6 +13,7 @@
     Ending,
     Hello,
     InvalidMessage,
+    ListPart,
     Message,
     Moved,
     Ready,
@@ -27,6 +28,9 @@
 messages: st.SearchStrategy[Message] = st.one_of(
     st.builds(Hello, counts), st.builds(Ending, counts), st.just(Ready()),
     st.builds(Moved, st.booleans(), counts, st.binary(max_size=300)),
+    st.builds(ListPart, st.text(max_size=20), counts, st.booleans(), st.booleans(), st.lists(
+        st.fixed_dictionaries({"uid": st.text(max_size=5), "state": st.text(max_size=5)}), max_size=3,
+    )),
 )
 
 
@@ -51,7 +55,11 @@
 @pytest.mark.parametrize(
     "data",
     [b"[]\n", b"null\n", b'{"note":"hello"}\n', b'{"note":"hello","held":-1}\n',
-     b'{"note":"ending","held":true}\n', b'{"note":"moved","proven":true,"elapsed_us":-1}\n'],
+     b'{"note":"ending","held":true}\n', b'{"note":"moved","proven":true,"elapsed_us":-1}\n',
+     b'{"note":"list","service":"a","version":1,"whole":true,"last":true}\n',
+     b'{"note":"list","service":"a","version":1,"whole":true,"last":true}\n{}',
+     b'{"note":"list","service":"a","version":1,"whole":true,"last":true}\n[{"uid":"s-1"}]',
+     b'{"note":"list","service":1,"version":1,"whole":true,"last":true}\n[]'],
 )
 def test_invalid_messages(data: bytes) -> None:
     with pytest.raises(InvalidMessage):
--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -3,14 +3,10 @@
 from __future__ import annotations
 
 import json
-import re
 import signal
 import socket
-import struct
-import threading
 import time
 from collections.abc import Iterator
-from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
@@ -19,10 +15,11 @@
 from measure.rig import PROCESS_TIMEOUT_S, UNREACHABLE_SERVICE, Node, wait_until
 from measure.site import Site
 
+from .stand_ins import Discovery, Worker, read_head, target_of
+
 LATE_S = 0.5  # an answer may come this long after its caller's time
 SLACK_S = 0.15  # the time given to a worker may exceed the caller's by this
 BAD_CLIENT_S = 3.0  # an invalid or incomplete request is answered within this time
-LINGER_RESET = struct.pack("ii", 1, 0)
 
 
 def request(name: str, timeout_s: float, *headers: str) -> bytes:
@@ -31,90 +28,12 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\ntext"
 
 
-def read_head(connection: socket.socket) -> str:
-    """One head; its body, if any, is received with it."""
-    received = b""
-    while b"\r\n\r\n" not in received:
-        piece = connection.recv(65536)
-        assert piece, f"the connection ended after {received!r}"
-        received += piece
-    return received.decode()
-
-
-class Server:
-    """Accepts connections in a thread and answers each in a thread of its own."""
-
-    def __init__(self) -> None:
-        self.listener = socket.create_server(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def _accept(self) -> None:
-        with suppress(OSError):
-            while True:
-                connection = self.listener.accept()[0]
-                threading.Thread(target=self._guard, args=[connection], daemon=True).start()
-
-    def _guard(self, connection: socket.socket) -> None:
-        with suppress(OSError, AssertionError):
-            self.serve(connection)
-        connection.close()
-
-    def serve(self, connection: socket.socket) -> None:
-        raise NotImplementedError
-
-    def stop(self) -> None:
-        self.listener.close()
-
-
-class Worker(Server):
-    """Answers each request at once; ``seen`` has its id, the time, and the time that it was given."""
-
-    def __init__(self) -> None:
-        self.seen: list[tuple[str, float, float]] = []
-        super().__init__()
-
-    def serve(self, connection: socket.socket) -> None:
-        while True:
-            head = read_head(connection)
-            name, timeout = (re.search(rf"{key}: (.*)\r", head) for key in ("X-Request-ID", "X-Timeout"))
-            assert name is not None and timeout is not None
-            self.seen.append((name[1], time.monotonic(), float(timeout[1])))
-            line = json.dumps({"id": name[1], "state": "done", "result": "done"}).encode() + b"\n"
-            connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(line), line))
-
-
-class Discovery(Server):
-    """Discovery that fails each call, in one of three ways, until it is ``up``."""
-
-    def __init__(self, failure: str, targets: list[dict[str, Any]]) -> None:
-        self.failure = failure
-        self.targets = targets
-        self.up = threading.Event()
-        super().__init__()
-
-    def serve(self, connection: socket.socket) -> None:
-        read_head(connection)
-        if not self.up.is_set() and self.failure == "503":
-            connection.sendall(b"HTTP/1.1 503 Unavailable\r\nContent-Length: 0\r\n\r\n")
-        elif not self.up.is_set() and self.failure == "reset":
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
-        elif not self.up.is_set():  # silent
-            connection.recv(1)
-        else:
-            line = json.dumps({"rev": 42, "all": True, "targets": self.targets}).encode() + b"\n"
-            connection.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-            connection.sendall(b"%x\r\n%s\r\n" % (len(line), line))
-            connection.recv(1)
-
-
 class StartingNode:
     """A node whose discovery fails, and its one worker; the node knows the worker from its configuration."""
 
     def __init__(self, folder: Path, failure: str = "503", **operator: str) -> None:
         self.worker = Worker()
-        target = {"uid": "s-0", "endpoint": self.worker.address, "az": "north", "model": "box",
-                  "pod_group": 0, "state": "ready", "capacity_hint": 1.0, "boot_ms": 0}
+        target = target_of("s-0", self.worker)
         self.discovery = Discovery(failure, [target])
         with socket.create_server(("127.0.0.1", 0)) as free:
             self.port = free.getsockname()[1]
