--- a/tests/test_idle_limit.py
+++ b/tests/test_idle_limit.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from rushsaddle.net.nexthop import IdleLimit
+from rushsaddle.net.idle_limit import IdleLimit
 
 SECOND = 1_000_000
 
