Tests of incomplete requests read answers by the shared stand-ins

Cause: reading a head stood twice, in tests/stand_ins.py and in tests/takeover/test_incomplete_requests.py. Change: the second one is gone. The tests check the same as before.

--- a/tests/takeover/test_incomplete_requests.py
+++ b/tests/takeover/test_incomplete_requests.py
@@ -12,6 +12,8 @@
 from measure.rig import PROCESS_TIMEOUT_S
 from measure.site import Site
 
+from ..stand_ins import read_head
+
 BAD_CLIENT_S = 3.0  # an incomplete request is answered or its connection closed within this time
 OLD = 0  # number of the process that is replaced
 
@@ -32,16 +34,6 @@
     return b"".join(b"%x\r\n%s\r\n" % (len(piece), piece) for piece in pieces) + b"0\r\n\r\n"
 
 
-def answer(connection: socket.socket) -> bytes:
-    """The head and what came with it of one answer."""
-    received = b""
-    while b"\r\n\r\n" not in received:
-        piece = connection.recv(65536)
-        assert piece, f"the connection ended after {received!r}"
-        received += piece
-    return received
-
-
 def wait_until_read(connection: socket.socket) -> None:
     """Wait until the node has read all that was sent: the receive queue of its socket is empty."""
     until = time.monotonic() + PROCESS_TIMEOUT_S
@@ -65,7 +57,7 @@
     connection = socket.create_connection(("127.0.0.1", site.port), PROCESS_TIMEOUT_S)
     if used:
         connection.sendall(whole("r0"))
-        assert answer(connection).startswith(b"HTTP/1.1 200 ")
+        assert read_head(connection).startswith("HTTP/1.1 200 ")
     connection.sendall(sent)
     wait_until_read(connection)
     site.nodes[new].send_signal(signal.SIGCONT)
@@ -96,7 +88,7 @@
     connection = send_to_the_old_process(site, raw[:-last], used)
     end_the_old_process(site)
     connection.sendall(raw[-last:])
-    assert answer(connection).startswith(b"HTTP/1.1 200 ")
+    assert read_head(connection).startswith("HTTP/1.1 200 ")
     assert '"incomplete_requests":1' in site.log(OLD)
     connection.close()
 
@@ -104,12 +96,12 @@
 def test_a_caller_that_waits_for_100_continue_is_served_by_the_newer_process(site: Site) -> None:
     """The newer process reads the head again, and may ask for the body a second time."""
     connection = send_to_the_old_process(site, head("r1", "Content-Length: 4", "Expect: 100-continue"))
-    assert answer(connection) == b"HTTP/1.1 100 \r\n\r\n"
+    assert read_head(connection) == "HTTP/1.1 100 \r\n\r\n"
     end_the_old_process(site)
-    assert answer(connection) == b"HTTP/1.1 100 \r\n\r\n"
+    assert read_head(connection) == "HTTP/1.1 100 \r\n\r\n"
     connection.sendall(b"te")
     connection.sendall(b"xt")
-    assert answer(connection).startswith(b"HTTP/1.1 200 ")
+    assert read_head(connection).startswith("HTTP/1.1 200 ")
     connection.close()
 
 
@@ -120,10 +112,10 @@
     site.nodes[OLD].send_signal(signal.SIGTERM)
     site.wait(OLD, '"draining"')
     connection.sendall(raw[-100:])
-    assert answer(connection).startswith(b"HTTP/1.1 200 ")
+    assert read_head(connection).startswith("HTTP/1.1 200 ")
     assert site.nodes[OLD].wait(PROCESS_TIMEOUT_S) == 0
     connection.sendall(whole("r2"))
-    assert answer(connection).startswith(b"HTTP/1.1 200 ")
+    assert read_head(connection).startswith("HTTP/1.1 200 ")
     connection.close()
 
 
@@ -134,6 +126,6 @@
     sent_at = time.monotonic()
     time.sleep(1.5)  # more than the time that is left between the node's limit and the bound
     end_the_old_process(site)
-    assert answer(connection).startswith(b"HTTP/1.1 408 ")
+    assert read_head(connection).startswith("HTTP/1.1 408 ")
     assert time.monotonic() - sent_at < BAD_CLIENT_S
     connection.close()
