Injected failures of one kind of call no longer depend on the other calls

Why it works: each kind has a generator of its own with the plan's seed, so the same calls of a kind fail in every run. The check, its bound, the shares and the seed are as they were. Test: test_which_calls_of_a_kind_fail_does_not_depend_on_other_calls.

--- a/measure/inject.py
+++ b/measure/inject.py
@@ -24,11 +24,12 @@
     errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.EHOSTUNREACH, errno.ECONNREFUSED, errno.EAGAIN
 )
 READ_ERRORS = (errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ECONNRESET)
+KINDS = ("accept", "create", "connect", "broken", "short")  # the probabilities of a plan
 
 
 @dataclass(frozen=True, slots=True)
 class FaultPlan:
-    """Probability of failure of each kind of call, drawn by a generator with this seed."""
+    """Probability of failure of each kind of call, each drawn by a generator of its own with this seed."""
 
     seed: int
     record: str
@@ -47,15 +48,20 @@
 
 
 class Injector:
-    """Decides at random which calls fail, and records the failures."""
+    """Decides at random which calls fail, and records the failures.
+
+    Whether the n-th call of a kind fails depends on the plan alone, whatever other calls come in between.
+    """
 
     def __init__(self, plan: FaultPlan) -> None:
-        self.plan = plan
-        self._draw = Random(plan.seed)
+        self._shares = {kind: float(getattr(plan, kind)) for kind in KINDS}
+        self._draws = {kind: Random(f"{plan.seed} {kind}") for kind in KINDS}
+        self._draw = Random(plan.seed)  # of error codes and short counts
         self._log_fd = os.open(plan.record, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600)
 
-    def should_fail(self, share: float) -> bool:
-        return self._draw.random() < share
+    def should_fail(self, kind: str) -> bool:
+        """Whether the next call of this kind fails."""
+        return self._draws[kind].random() < self._shares[kind]
 
     def short_count(self, most: int) -> int:
         """A small random number of bytes, from 1 to 7 and at most ``most``."""
@@ -72,45 +78,44 @@
 
 def faulty_socket(injector: Injector) -> type[socket.socket]:
     """The class that replaces ``socket.socket``."""
-    plan = injector.plan
 
     class FaultySocket(socket.socket):
         """A socket whose calls fail according to the plan."""
 
         def __init__(self, *args: Any, **named: Any) -> None:
             taken = named.get("fileno") is not None or len(args) > 3
-            if not taken and injector.should_fail(plan.create):
+            if not taken and injector.should_fail("create"):
                 raise injector.error("socket", SOCKET_ERRORS)
             super().__init__(*args, **named)
             self.upstream = False
             self.broken_by: OSError | None = None
 
         def accept(self) -> Any:
-            if injector.should_fail(plan.accept):  # the pending connection stays in the backlog
+            if injector.should_fail("accept"):  # the pending connection stays in the backlog
                 raise injector.error("accept", ACCEPT_ERRORS)
             return super().accept()
 
         def connect_ex(self, address: Any) -> int:
             self.upstream = True
-            if injector.should_fail(plan.connect):
+            if injector.should_fail("connect"):
                 return int(injector.error("connect", CONNECT_ERRORS).errno or 0)
             return super().connect_ex(address)
 
         def recv_into(self, buffer: Any, *more: Any) -> int:
             self._maybe_break()
-            if injector.should_fail(plan.short):
+            if injector.should_fail("short"):
                 injector.log_fault("recv", "short")
                 return super().recv_into(memoryview(buffer)[: injector.short_count(len(buffer))], *more)
             return super().recv_into(buffer, *more)
 
         def send(self, data: Any, *more: Any) -> int:
-            if injector.should_fail(plan.short):
+            if injector.should_fail("short"):
                 injector.log_fault("send", "short")
                 return super().send(memoryview(data)[: injector.short_count(len(data))], *more)
             return super().send(data, *more)
 
         def _maybe_break(self) -> None:
-            if self.broken_by is None and self.upstream and injector.should_fail(plan.broken):
+            if self.broken_by is None and self.upstream and injector.should_fail("broken"):
                 self.broken_by = injector.error("recv", READ_ERRORS)
             if self.broken_by is not None:
                 raise self.broken_by
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from measure.inject import FaultPlan
+from measure.inject import KINDS, FaultPlan, Injector
 from measure.rig import Caller, Node, Reply, StandInWorkers, wait_until
 
 SERVERS, JOBS, JOBS_PER_S = 8, 240, 40.0
@@ -44,6 +44,21 @@
     return list(await asyncio.gather(*tasks))
 
 
+def test_which_calls_of_a_kind_fail_does_not_depend_on_other_calls(tmp_path: Path) -> None:
+    """One generator served all kinds, so that timing decided how many of 30 calls failed: 3 in one run."""
+    plan = FaultPlan(1, str(tmp_path / "faults"), 0.2, 0.2, 0.2, 0.2, 0.2)
+    alone, mixed, order = Injector(plan), Injector(plan), random.Random(7)
+    for kind in KINDS:
+        expected = [alone.should_fail(kind) for _ in range(100)]
+        found = []
+        for _ in range(100):
+            for other in order.choices([k for k in KINDS if k != kind], k=3):
+                mixed.should_fail(other)
+            found.append(mixed.should_fail(kind))
+        mixed = Injector(plan)
+        assert found == expected and 3 < sum(expected) < 40
+
+
 @pytest.mark.parametrize("kind", PLANS)
 @pytest.mark.parametrize("seed", [1])
 def test_every_request_is_answered_while_system_calls_fail(kind: str, seed: int, tmp_path: Path) -> None:
