An unnamed entry of a list no longer parts two processes

What was seen: a change with an entry that has an unknown state and no uid made the newer process drop its link to the older one ('an entry must have uid and state'): no list, and no connections, were handed over from then on. Cause: such an entry is no malformed one, so Discovery left it in the fields that it passes on; only lists with a malformed entry were cleaned. TargetSet had a guard of its own against it, and the messages between processes had not. Why it works: the fields are cleaned where they are read, for every receiver; the guard in TargetSet is gone. Test: test_an_entry_without_a_name_does_not_part_the_two_processes failed before.

--- a/rushsaddle/core/target_set.py
+++ b/rushsaddle/core/target_set.py
@@ -18,8 +18,6 @@
         if whole:
             self.targets = {}
         for target in fields["targets"]:
-            if "uid" not in target:
-                continue  # of a state that this version does not know: it says nothing about any next hop
             uid = str(target["uid"])
             if target["state"] == "gone":
                 self.targets.pop(uid, None)
--- a/rushsaddle/net/discovery.py
+++ b/rushsaddle/net/discovery.py
@@ -276,13 +276,15 @@
         self.on_applied(fields, kind is not ListKind.CHANGES)
 
     def _read(self, fields: Any) -> tuple[Any, Entries]:
-        """A list without its malformed entries, and the others."""
+        """A list with the entries that name a next hop and its state, and those that were parsed.
+
+        Malformed entries and those of an unknown state are not parsed, but may be kept for other processes.
+        """
         malformed: list[str] = []
         entries = self.names.entries(fields["targets"], malformed)
         if malformed:
             self.log.event("malformed list entries skipped", count=len(malformed), first=malformed[0])
-            fields = {**fields, "targets": [t for t in fields["targets"] if _is_readable(t)]}
-        return fields, entries
+        return {**fields, "targets": [t for t in fields["targets"] if _is_readable(t)]}, entries
 
     def _update(self, kind: ListKind, entries: Entries, version: int, **more: Any) -> None:
         """Pass a list to the next hops and to the decisions; ``more``: fields of the log event."""
@@ -303,4 +305,4 @@
 
 
 def _is_readable(target: Any) -> bool:
-    return isinstance(target, dict) and isinstance(target.get("uid"), str) and "state" in target
+    return isinstance(target, dict) and isinstance(target.get("uid"), str | int) and "state" in target
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -102,10 +102,14 @@
 
     def tell(self, uid: str, state: str) -> None:
         """Change the state of a worker, and write that to the open watches."""
-        self.version += 1
         self.targets[uid] = {**self.targets[uid], "state": state}
+        self.write(self.targets[uid])
+
+    def write(self, *targets: dict[str, Any]) -> None:
+        """Write these entries to the open watches, as the changes of one more version."""
+        self.version += 1
         for watch in self.watches:
-            watch.sendall(self._line(False, [self.targets[uid]]))
+            watch.sendall(self._line(False, list(targets)))
 
     def go_down(self) -> None:
         """End the watches; calls fail from now on."""
--- a/tests/takeover/test_inherited_list.py
+++ b/tests/takeover/test_inherited_list.py
@@ -100,6 +100,19 @@
     assert replacement.served("s-0") == 0
 
 
+def test_an_entry_without_a_name_does_not_part_the_two_processes(replacement: Replacement) -> None:
+    """Discovery may name states that this version does not know, and more that it cannot read beside them."""
+    replacement.start_old()
+    replacement.discovery.up.clear()
+    replacement.new = replacement.site.start_ready()
+    replacement.discovery.write({"state": "resting"})
+    replacement.drain("s-0")
+    replacement.site.wait(replacement.new, '"leaving":["s-0"]')
+    replacement.end_old()
+    replacement.ask()
+    assert replacement.served("s-0") == 0
+
+
 def test_a_list_of_another_service_holds_until_the_configured_one_answers(replacement: Replacement) -> None:
     """Its versions mean nothing to the configured service, which is called for its whole list."""
     other = Discovery("503", replacement.targets)
