The tests of the review's fixes wait for conditions, and each can fail for what it claims

What was seen on a second reading: test_startup closed a caller before it was held, sent two requests without waiting for both to be held, and had no bound on the answer after SIGTERM; a list of the service itself was set against an older process that knew the same; Retry-After during a start had no test. Reading a head, building a request and waiting stood more than once. Change: the tests wait until METRICS says that the requests are held (node.held); the older process misses a change; the answer after SIGTERM comes before SIGKILL (3.7 s); Retry-After is checked. Request heads come from tests/stand_ins.py, waits from measure/rig.py, so the polls of 0.005 and 0.01 s are gone, and so is the wait of 0.6 s for a due time, which is now at once. In discovery.py and measure/inject.py a rule and a table that stood twice are derived. By the clock is left: 1.5 s in test_the_time_for_a_request_goes_on_when_its_connection_is_handed_over, since the time that passes before a handover is what it tests. No check is eased; bounds are as they were.

--- a/measure/inject.py
+++ b/measure/inject.py
@@ -13,7 +13,7 @@
 import os
 import socket
 import sys
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, fields
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -24,7 +24,6 @@
     errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.EHOSTUNREACH, errno.ECONNREFUSED, errno.EAGAIN
 )
 READ_ERRORS = (errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ECONNRESET)
-KINDS = ("accept", "create", "connect", "broken", "short")  # the probabilities of a plan
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,6 +46,9 @@
         return cls(**json.loads(path.read_text()))
 
 
+KINDS = tuple(field.name for field in fields(FaultPlan) if field.name not in ("seed", "record"))
+
+
 class Injector:
     """Decides at random which calls fail, and records the failures.
 
@@ -54,14 +56,15 @@
     """
 
     def __init__(self, plan: FaultPlan) -> None:
-        self._shares = {kind: float(getattr(plan, kind)) for kind in KINDS}
+        self._plan = plan
         self._draws = {kind: Random(f"{plan.seed} {kind}") for kind in KINDS}
         self._draw = Random(plan.seed)  # of error codes and short counts
         self._log_fd = os.open(plan.record, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600)
 
     def should_fail(self, kind: str) -> bool:
         """Whether the next call of this kind fails."""
-        return self._draws[kind].random() < self._shares[kind]
+        share: float = getattr(self._plan, kind)
+        return self._draws[kind].random() < share
 
     def short_count(self, most: int) -> int:
         """A small random number of bytes, from 1 to 7 and at most ``most``."""
--- a/rushsaddle/net/discovery.py
+++ b/rushsaddle/net/discovery.py
@@ -198,7 +198,7 @@
                         raise ConnectionError(f"status {event.status_code}")
                 elif isinstance(event, h11.Data):
                     for fields in objects.feed(bytes(event.data)):
-                        self._apply(fields, ListKind.CHANGES)
+                        self._apply(fields, _kind_of(fields))
                         for _ in range(self._pending_calls - 1):
                             self.put(WorkerList(ListKind.CHANGES, (), self.version))
                         self._watching, self._pending_calls = True, 0
@@ -226,7 +226,7 @@
                 return
             if isinstance(event, h11.Data):
                 for fields in objects.feed(bytes(event.data)):
-                    kind = ListKind.COMPLETE if fields.get("all") else ListKind.CHANGES
+                    kind = _kind_of(fields)
                     fields, entries = self._read(fields)
                     self._update(kind, entries, int(fields["rev"]), replaced=True)
                     self.on_applied(fields, kind is ListKind.COMPLETE)
@@ -256,8 +256,6 @@
 
     def _apply(self, fields: Any, kind: ListKind, by: str = "") -> None:
         """Apply a list or its changes, from the service or, if ``by`` is set, from another node."""
-        if kind is ListKind.CHANGES and fields.get("all"):
-            kind = ListKind.COMPLETE
         fields, entries = self._read(fields)
         if self.observer is not None and not by:
             if kind is ListKind.SAVED:
@@ -304,5 +302,10 @@
         self.put(WorkerList(kind, tuple(entry for entry, _ in entries), version))
 
 
+def _kind_of(fields: Any) -> ListKind:
+    """The kind of a list that a service has sent."""
+    return ListKind.COMPLETE if fields.get("all") else ListKind.CHANGES
+
+
 def _is_readable(target: Any) -> bool:
     return isinstance(target, dict) and isinstance(target.get("uid"), str | int) and "state" in target
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -120,6 +120,12 @@
         self.watches.clear()
 
 
+def request_head(cls: str, name: str, *headers: str) -> bytes:
+    """The head of a request; ``headers`` are whole lines."""
+    lines = [f"POST /{cls} HTTP/1.1", "Host: n0", f"X-Request-ID: {name}", *headers]
+    return "\r\n".join([*lines, "", ""]).encode()
+
+
 def target_of(uid: str, worker: Worker) -> dict[str, Any]:
     """The entry of a worker that is ready, in discovery's format."""
     return {"uid": uid, "endpoint": worker.address, "az": "north", "model": "box", "pod_group": 0,
--- a/tests/takeover/test_incomplete_requests.py
+++ b/tests/takeover/test_incomplete_requests.py
@@ -9,19 +9,17 @@
 
 import pytest
 
-from measure.rig import PROCESS_TIMEOUT_S
+from measure.rig import PROCESS_TIMEOUT_S, wait_until
 from measure.site import Site
 
-from ..stand_ins import read_head
+from ..stand_ins import read_head, request_head
 
 BAD_CLIENT_S = 3.0  # an incomplete request is answered or its connection closed within this time
 OLD = 0  # number of the process that is replaced
 
 
 def head(name: str, *headers: str) -> bytes:
-    lines = ["POST /single-text HTTP/1.1", "Host: n0", f"X-Request-ID: {name}", "X-Timeout: 5.0",
-             f"Idempotency-Key: {name}", *headers]
-    return "\r\n".join(lines).encode() + b"\r\n\r\n"
+    return request_head("single-text", name, "X-Timeout: 5.0", f"Idempotency-Key: {name}", *headers)
 
 
 def whole(name: str) -> bytes:
@@ -36,16 +34,15 @@
 
 def wait_until_read(connection: socket.socket) -> None:
     """Wait until the node has read all that was sent: the receive queue of its socket is empty."""
-    until = time.monotonic() + PROCESS_TIMEOUT_S
     client, node = (f"{port:04X}" for port in (connection.getsockname()[1], connection.getpeername()[1]))
-    while True:
+
+    def is_read() -> bool:
         rows = [line.split() for line in Path("/proc/net/tcp").read_text().splitlines()[1:]]
         queues = [row[4].split(":")[1] for row in rows
                   if row[1].endswith(f":{node}") and row[2].endswith(f":{client}")]
-        if queues and int(queues[0], 16) == 0:
-            return
-        assert time.monotonic() < until, "the node did not read the request"
-        time.sleep(0.005)
+        return bool(queues) and int(queues[0], 16) == 0
+
+    wait_until("the node has read the request", is_read)
 
 
 def send_to_the_old_process(site: Site, sent: bytes, used: bool = False) -> socket.socket:
@@ -124,7 +121,8 @@
     """The newer process counted from the handover: callers that never finish were kept for too long."""
     connection = send_to_the_old_process(site, sent)
     sent_at = time.monotonic()
-    time.sleep(1.5)  # more than the time that is left between the node's limit and the bound
+    # The caller stays silent for longer than the time between the node's limit and the bound.
+    time.sleep(1.5)
     end_the_old_process(site)
     assert read_head(connection).startswith("HTTP/1.1 408 ")
     assert time.monotonic() - sent_at < BAD_CLIENT_S
--- a/tests/takeover/test_inherited_list.py
+++ b/tests/takeover/test_inherited_list.py
@@ -16,7 +16,7 @@
 from rushsaddle.takeover.followed_list import ReceivedList, split
 from rushsaddle.takeover.messages import MAX_MESSAGE_BYTES, MAX_TARGETS_BYTES, ListPart, decode, encode
 
-from ..stand_ins import Discovery, Worker, read_head, target_of
+from ..stand_ins import Discovery, Worker, read_head, request_head, target_of
 
 REQUESTS = 20  # drawn at random, one of them would go to the other of two workers
 
@@ -55,8 +55,7 @@
         """Send requests, one after another; each is served."""
         with socket.create_connection(("127.0.0.1", self.site.port), PROCESS_TIMEOUT_S) as connection:
             for n in range(first, first + REQUESTS):
-                lines = ["POST /bulk-batch HTTP/1.1", "Host: n0", f"X-Request-ID: r{n}", "Content-Length: 0"]
-                connection.sendall("\r\n".join([*lines, "", ""]).encode())
+                connection.sendall(request_head("bulk-batch", f"r{n}", "Content-Length: 0"))
                 assert read_head(connection).startswith("HTTP/1.1 200 ")
 
     def served(self, uid: str) -> int:
@@ -132,11 +131,17 @@
 
 
 def test_the_list_of_the_service_itself_goes_before_the_older_process_s(replacement: Replacement) -> None:
+    """The older process missed that a worker is back, and passes on its list with another change."""
     replacement.start_old()
     replacement.drain("s-0")
-    replacement.discovery.tell("s-0", "ready")
-    replacement.site.wait(replacement.old, '"back":["s-0"]')
+    discovery = replacement.discovery
+    discovery.targets["s-0"] = replacement.targets[0]
     replacement.new = replacement.site.start_ready()
+    replacement.site.wait(replacement.new, '"back":["s-0"]')
+    [_, newer_watch] = discovery.watches
+    discovery.watches.remove(newer_watch)
+    discovery.tell("s-1", "ready")
+    replacement.site.wait(replacement.old, f'"version":{discovery.version}')
     replacement.end_old()
     replacement.ask()
     assert replacement.served("s-0") > 0
--- a/tests/test_discovery_move.py
+++ b/tests/test_discovery_move.py
@@ -11,6 +11,7 @@
 import pytest
 
 from .play import TIMEOUT_S, Player
+from .stand_ins import read_head, request_head
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 UNAVAILABLE = b"HTTP/1.1 503 Unavailable\r\nContent-Length: 0\r\n\r\n"
@@ -30,12 +31,7 @@
         """The next call to a service, and its target."""
         connection = self.player.listeners[service].accept()[0]
         connection.settimeout(TIMEOUT_S)
-        received = b""
-        while b"\r\n\r\n" not in received:
-            piece = connection.recv(65536)
-            assert piece
-            received += piece
-        return connection, received.split()[1].decode()
+        return connection, read_head(connection).split()[1]
 
     def line(self, version: int, complete: bool = False, **states: str) -> bytes:
         """A list with the state of each next hop that it names, as a chunk."""
@@ -76,8 +72,7 @@
     def request_reaches(self, hop: str, name: str) -> None:
         """Send a request, which arrives at this next hop; leave it open."""
         self.player.execute([name, "opens"], "")
-        lines = ["POST /bulk-batch HTTP/1.1", "Host: n0", f"X-Request-ID: {name}", "Content-Length: 0"]
-        self.player.open[name].sendall("\r\n".join([*lines, "", ""]).encode())
+        self.player.open[name].sendall(request_head("bulk-batch", name, "Content-Length: 0"))
         self.player.execute([f"{name} at {hop}", "accepts", hop], "")
 
 
--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 import signal
 import socket
 import time
@@ -15,17 +16,17 @@
 from measure.rig import PROCESS_TIMEOUT_S, UNREACHABLE_SERVICE, Node, wait_until
 from measure.site import Site
 
-from .stand_ins import Discovery, Worker, read_head, target_of
+from .stand_ins import Discovery, Worker, read_head, request_head, target_of
 
 LATE_S = 0.5  # an answer may come this long after its caller's time
 SLACK_S = 0.15  # the time given to a worker may exceed the caller's by this
+KILL_S = 3.7  # SIGKILL comes no sooner after SIGTERM
 BAD_CLIENT_S = 3.0  # an invalid or incomplete request is answered within this time
 
 
 def request(name: str, timeout_s: float, *headers: str) -> bytes:
-    lines = ["POST /bulk-batch HTTP/1.1", "Host: n0", f"X-Request-ID: {name}", f"X-Timeout: {timeout_s}",
-             "Content-Length: 4", *headers]
-    return "\r\n".join(lines).encode() + b"\r\n\r\ntext"
+    head = request_head("bulk-batch", name, f"X-Timeout: {timeout_s}", "Content-Length: 4", *headers)
+    return head + b"text"
 
 
 class StartingNode:
@@ -35,25 +36,38 @@
         self.worker = Worker()
         target = target_of("s-0", self.worker)
         self.discovery = Discovery(failure, [target])
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            self.port = free.getsockname()[1]
+        with socket.create_server(("127.0.0.1", 0)) as free, socket.create_server(("127.0.0.1", 0)) as more:
+            self.port, self.admin_port = free.getsockname()[1], more.getsockname()[1]
         known = {"rev": 41, "all": True, "targets": [target]}
         address = UNREACHABLE_SERVICE if failure == "refused" else self.discovery.address
         self.node = Node(
-            folder, address, operator, spawn=False, listen=f"127.0.0.1:{self.port}", known=known
+            folder, address, operator, spawn=False, listen=f"127.0.0.1:{self.port}", known=known,
+            admin_addr=f"127.0.0.1:{self.admin_port}",
         )
         self.node.spawn()
-        self.began = time.monotonic()
+        wait_until("the node listens", lambda: self.held() is not None)
 
     def connect(self) -> socket.socket:
-        """A connection, as soon as the node listens."""
-        until = time.monotonic() + PROCESS_TIMEOUT_S
-        while True:
-            try:
-                return socket.create_connection(("127.0.0.1", self.port), PROCESS_TIMEOUT_S)
-            except ConnectionRefusedError:
-                assert time.monotonic() < until and self.node.process.poll() is None
-                time.sleep(0.01)
+        return socket.create_connection(("127.0.0.1", self.port), PROCESS_TIMEOUT_S)
+
+    def held(self) -> int | None:
+        """The number of requests that the node says it holds; None while it does not listen yet."""
+        try:
+            admin = socket.create_connection(("127.0.0.1", self.admin_port), PROCESS_TIMEOUT_S)
+        except ConnectionRefusedError:
+            return None
+        with admin:
+            admin.sendall(b"METRICS\n")
+            figures = b"".join(iter(lambda: admin.recv(65536), b""))
+        found = re.search(rb"node.current:(\d+)\|g\nnode.held:(\d+)\|g", figures)
+        assert found is not None and int(found[1]) >= int(found[2])
+        return int(found[2])
+
+    def hold(self, *requests: bytes) -> list[socket.socket]:
+        """Send each request on its own connection, and wait until the node holds all of them."""
+        connections = [self.ask(raw) for raw in requests]
+        wait_until("the requests are held", lambda: self.held() == len(requests))
+        return connections
 
     def ask(self, raw: bytes) -> socket.socket:
         connection = self.connect()
@@ -91,8 +105,9 @@
     node = start(failure)
     connection = node.ask(request("r1", 1.0))
     sent_at = time.monotonic()
-    assert read_head(connection).startswith("HTTP/1.1 503 ")
+    head = read_head(connection)
     assert time.monotonic() - sent_at < 1.0 + LATE_S
+    assert head.startswith("HTTP/1.1 503 ") and "Retry-After: 2.000" in head  # as the settings allow at most
     assert not node.ready and not node.worker.seen
     connection.sendall(request("r2", 20.0))
     sent_at = time.monotonic()
@@ -105,8 +120,8 @@
 def test_a_held_request_is_served_as_soon_as_discovery_answers(start: Any) -> None:
     """A node that starts rejects nobody whom it can still serve."""
     node = start()
-    connection = node.ask(request("r1", 9.0))
     sent_at = time.monotonic()
+    [connection] = node.hold(request("r1", 9.0))
     node.discovery.up.set()
     assert read_head(connection).startswith("HTTP/1.1 200 ")
     [(_, at, given_s)] = node.worker.seen
@@ -136,12 +151,11 @@
 def test_a_held_request_is_rejected_when_the_process_ends_before_it_could_serve(start: Any) -> None:
     """Its connection was reset."""
     node = start()
-    connection = node.ask(request("r1", 9.0))
-    with node.connect() as probe:  # answered after the first connection was read
-        probe.sendall(b"GET /healthz HTTP/1.1\r\nHost: n0\r\n\r\n")
-        read_head(probe)
+    [connection] = node.hold(request("r1", 9.0))
     node.node.process.send_signal(signal.SIGTERM)
+    signalled_at = time.monotonic()
     head = read_head(connection)
+    assert time.monotonic() - signalled_at < KILL_S
     assert head.startswith("HTTP/1.1 503 ") and "Connection: close" in head
     connection.close()
     assert node.node.process.wait(PROCESS_TIMEOUT_S) == 0
@@ -150,10 +164,10 @@
 
 def test_a_held_request_whose_caller_has_left_is_not_forwarded(start: Any) -> None:
     node = start()
-    node.ask(request("r1", 9.0)).close()
-    stays = node.ask(request("r2", 9.0))
-    wait_until("the caller's end is seen", lambda: node.node.events("left before the node could serve")
-               or node.node.events("left before its request was read"))
+    leaves, stays = node.hold(request("r1", 9.0), request("r2", 9.0))
+    leaves.close()
+    wait_until("the caller's end is seen", lambda: node.held() == 1)
+    assert not node.ready
     node.discovery.up.set()
     assert read_head(stays).startswith("HTTP/1.1 200 ")
     assert [name for name, _, _ in node.worker.seen] == ["r2"]
@@ -161,7 +175,7 @@
 
 def test_of_two_held_requests_with_one_id_only_one_is_served(start: Any) -> None:
     node = start()
-    connections = [node.ask(request("r1", 9.0)) for _ in range(2)]
+    connections = node.hold(request("r1", 9.0), request("r1", 9.0))
     node.discovery.up.set()
     statuses = sorted(read_head(connection).split()[1] for connection in connections)
     assert statuses == ["200", "409"] and len(node.worker.seen) == 1
@@ -170,8 +184,7 @@
 def test_a_deferred_request_is_held_like_any_other(start: Any) -> None:
     """Released before there is a list, it would be sent by the saved one."""
     node = start(RUSHSADDLE_WAITING__ENABLED="true")
-    connection = node.ask(request("r1", 9.0, f"X-Not-Before: {time.time() + 0.2:.3f}"))
-    time.sleep(0.6)  # its time has come
+    [connection] = node.hold(request("r1", 9.0, f"X-Not-Before: {time.time():.3f}"))
     assert not node.worker.seen and not node.ready
     node.discovery.up.set()
     assert read_head(connection).startswith("HTTP/1.1 200 ")
