--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,55 +1,64 @@
-"""While the process is replaced, a bad client sends the id of another client's open request, which waits."""
+"""Reminders on disk wait for a job; it is served, and the node is killed while it still hands them out."""
 
 from __future__ import annotations
 
 import asyncio
-import socket
-import time
 from pathlib import Path
 
-from standins2 import HOST, TROUBLE, CannotRun, Discovery, Platform, Record, Sender, ask, main
+from standins2 import TROUBLE, Discovery, Platform, Record, Sender, ask, look, main
 
-DUE_S = 6.0
-NAME = "5a1e0c3b9d7f2846"
-COPIES = 12
+JOBS = 60
+GIVE_UP_S = 45.0  # of the waiting jobs, counted from their sending
+WATCHED_S = 50.0  # past the give-up time
 
 
 async def case(record: Record, platform: Platform) -> list[str]:
-    senders = [Sender(record, f"s-{n}", run_s=0.3) for n in range(2)]
+    senders = [Sender(record, f"s-{n}", run_s=0.4, slots=3) for n in range(2)]
     for sender in senders:
         await sender.start()
     discovery = Discovery(record)
     await discovery.start()
     discovery.set(*(sender.entry() for sender in senders))
-    platform.hold_jobs(lasting=False)
+    platform.hold_jobs()
     platform.configure(discovery.address, discovery.known())
-    listener = socket.create_server((HOST, 0), backlog=512)  # held by the platform
-    listener.set_inheritable(True)
-    address = f"{HOST}:{listener.getsockname()[1]}"
-    fd = listener.fileno()
-    await platform.start(fd, GW_INHERITED_FD=str(fd)).ready()
-    due = time.time() + DUE_S
-    owner = asyncio.create_task(ask(record, address, "bulk-batch", NAME, 16.0, X_Not_Before=f"{due:.3f}"))
-    await asyncio.sleep(0.3)
+    node = platform.start()
+    address = await node.ready()
+
+    names = [f"reminder-{n}" for n in range(JOBS)]
+    began = record.now()
+    for name in names:
+        status = await ask(record, address, "single-text", name, GIVE_UP_S,
+                           X_After="booking", Prefer="respond-async")
+        if status != 202:
+            record.put(f"client  {name} was not accepted: {status}")
+            return []
+    if await ask(record, address, "single-text", "booking", 5.0) != 200:
+        record.put("client  the booking was not served")
+        return []
     if TROUBLE:
-        await platform.start(fd, GW_INHERITED_FD=str(fd)).ready()
-    statuses = []
-    for _ in range(COPIES):
-        statuses.append(await ask(record, address, "bulk-batch", NAME, 5.0))
-        await asyncio.sleep(0.05)
-    if time.time() > due:
-        raise CannotRun("the copies took too long")
-    record.put(f"client  the copies got {statuses}")
-    await owner
-    await asyncio.sleep(0.5)
-    runs = [at for sender in senders for at, name in sender.begun if name == NAME]
-    breaks = []
-    if len(runs) > 1:
-        breaks.append(f"{NAME}, of a class that must not run twice, ran {len(runs)} times")
-    if 200 in statuses:
-        breaks.append(f"{statuses.count(200)} of {COPIES} copies of an open request were served, and not "
-                      "answered with an error")
-    return breaks
+        await asyncio.sleep(1.0)
+        await node.kill()
+        await asyncio.sleep(0.5)
+        address = await platform.start().ready()
+
+    states: dict[str, dict[str, object]] = {}
+    while record.now() < began + WATCHED_S:
+        await asyncio.sleep(1.0)
+        for name in names:
+            if name not in states:
+                status, fields = await look(record, address, f"/jobs/{name}")
+                if status == 200 and fields.get("status") is not None:
+                    states[name] = fields
+                    record.put(f"client  {name}: {fields['state']} {fields['status']} {fields['result']!r}")
+        if len(states) == len(names):
+            break
+    run = {name for sender in senders for _, name in sender.begun}
+    never = [name for name in names if name not in run and states.get(name, {}).get("state") != "served"]
+    record.put(f"{len(names)} accepted, {len(run & set(names))} run, {len(states)} answered")
+    if not never:
+        return []
+    return [f"{len(never)} of {JOBS} accepted jobs were never sent, though what they waited for was served "
+            f"before the crash and senders were free for {GIVE_UP_S:.0f} s"]
 
 
 raise SystemExit(main(case, Path(__file__).resolve().parent))
