Review case 6: jobs wait in vain for one that was served while the node ended

Cause: outcomes that come in while the node ends are not propagated to the jobs that wait on disk, nor recorded. Nothing is fixed.

--- a/review/standins2.py
+++ b/review/standins2.py
@@ -351,6 +351,17 @@
         while self.popen.poll() is None:
             await asyncio.sleep(0.01)
 
+    async def restart(self, kill_s: float) -> None:
+        """The first half of a planned restart: SIGTERM, SIGKILL if it hasn't ended ``kill_s`` later."""
+        self.signal(signal.SIGTERM)
+        until = time.monotonic() + kill_s
+        while self.popen.poll() is None:
+            if time.monotonic() >= until:
+                await self.kill()
+                return
+            await asyncio.sleep(0.01)
+        self.record.put(f"node    process {self.number} has ended with {self.popen.returncode}")
+
     async def ready(self, longest_s: float = 15.0) -> str:
         """Wait until it says that it serves; its address."""
         until = time.monotonic() + longest_s
