--- a/review/10/case.py
+++ b/review/10/case.py
@@ -6,7 +6,7 @@
 import time
 from pathlib import Path
 
-from standins2 import TROUBLE, Discovery, Platform, Record, Sender, ask, look, main
+from standins2 import TROUBLE, CannotRun, Discovery, Platform, Record, Sender, ask, look, main
 
 GRACE_S = 2.0 + 0.05  # DrainGraceUs, and the 50 ms by which each time limit grows
 TOLD_S = 6.0  # whatever discovery has to tell counts as told so much later at the latest
@@ -32,8 +32,7 @@
         status = await ask(record, address, "single-text", name, 60.0,
                            X_Not_Before=f"{due:.3f}", Prefer="respond-async")
         if status != 202:
-            record.put(f"client  {name} was not accepted: {status}")
-            return []
+            raise CannotRun(f"{name} was not accepted: {status}")
     discovery.set(senders[1].entry("draining"))
     drained = record.now()
     await asyncio.sleep(10.0)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -5,7 +5,7 @@
 import asyncio
 from pathlib import Path
 
-from standins2 import TROUBLE, Discovery, Platform, Record, Sender, ask, look, main
+from standins2 import TROUBLE, CannotRun, Discovery, Platform, Record, Sender, ask, look, main
 
 JOBS = 60
 GIVE_UP_S = 45.0  # of the waiting jobs, counted from their sending
@@ -30,11 +30,9 @@
         status = await ask(record, address, "single-text", name, GIVE_UP_S,
                            X_After="booking", Prefer="respond-async")
         if status != 202:
-            record.put(f"client  {name} was not accepted: {status}")
-            return []
+            raise CannotRun(f"{name} was not accepted: {status}")
     if await ask(record, address, "single-text", "booking", 5.0) != 200:
-        record.put("client  the booking was not served")
-        return []
+        raise CannotRun("what the jobs wait for was not served")
     if TROUBLE:
         await asyncio.sleep(1.0)
         await node.kill()
